workspace: add the core types and the shared runtime

This commit sets that down: the folders, the types of each decision module, the supervisors, the control protocol over tarpc, HTTP, logs, metrics and settings, and the first stand-ins.

--- /dev/null
+++ b/lib/src/admission/mod.rs
@@ -0,0 +1,9 @@
+//! Admission at an agent: whether its target takes a piece of work now.
+
+mod cap;
+mod controller;
+
+pub use self::{
+    cap::CapSettings,
+    controller::{Admission, AdmissionSettings, Phase, Work},
+};
--- /dev/null
+++ b/lib/src/lease/mod.rs
@@ -0,0 +1,11 @@
+//! Leases on engine memory: the ledger of one engine and reservations over several engines.
+
+mod ledger;
+mod plan;
+mod reservation;
+
+pub use self::{
+    ledger::{Allocation, Grant, LeaseLedger, LeaseSettings},
+    plan::{PlanError, Room, Share, plan},
+    reservation::{Collecting, Held, Reservation, Step},
+};
--- /dev/null
+++ b/lib/src/release/mod.rs
@@ -0,0 +1,5 @@
+//! The release note: what the fleet is to become, and whose turn it is to change.
+
+mod note;
+
+pub use self::note::{Change, ReleaseNote};
--- /dev/null
+++ b/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/runtime/src/clock.rs
@@ -0,0 +1,29 @@
+//! The clock of the operating system.
+
+use fulmarhead_lib::clock::{Clock, SharedClock};
+use std::{
+    sync::Arc,
+    time::{Instant, SystemTime},
+};
+
+/// The clock of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl SystemClock {
+    /// Returns the clock for sharing.
+    pub fn shared() -> SharedClock {
+        Arc::new(Self)
+    }
+}
+
+#[expect(clippy::disallowed_methods, reason = "the one place that reads the clock")]
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/runtime/src/supervisor/connections.rs
@@ -0,0 +1,65 @@
+//! Temporary children: one task for each connection.
+
+use futures::future::Future;
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// The tasks of accepted connections, which are never restarted.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    tracker: TaskTracker,
+    slots: Arc<Semaphore>,
+    stop: CancellationToken,
+}
+
+/// Room for one connection.
+#[derive(Debug)]
+pub struct Slot(OwnedSemaphorePermit);
+
+impl Connections {
+    /// Returns an empty set that holds at most `limit` connections.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            tracker: TaskTracker::new(),
+            slots: Arc::new(Semaphore::new(limit)),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Waits for room for one more connection.
+    pub async fn slot(&self) -> Slot {
+        let permit = Arc::clone(&self.slots).acquire_owned().await;
+        Slot(permit.expect("the semaphore is never closed"))
+    }
+
+    /// Runs the task of a connection; it gets the token that asks it to finish.
+    pub fn spawn<F, Fut>(&self, slot: Slot, task: F)
+    where
+        F: FnOnce(CancellationToken) -> Fut,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let task = task(self.stop.clone());
+        self.tracker.spawn(async move {
+            task.await;
+            drop(slot.0);
+        });
+    }
+
+    /// Returns how many connections are open.
+    pub fn len(&self) -> usize {
+        self.tracker.len()
+    }
+
+    /// Returns whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.tracker.is_empty()
+    }
+
+    /// Asks all connections to finish and waits for them.
+    pub async fn finish(&self) {
+        self.stop.cancel();
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+}
--- /dev/null
+++ b/runtime/src/telemetry/mod.rs
@@ -0,0 +1,9 @@
+//! Logs and metrics.
+
+mod logs;
+mod metrics;
+
+pub use self::{
+    logs::{LogError, init_logs},
+    metrics::{MetricsHandle, install_metrics},
+};
--- /dev/null
+++ b/standins/src/engine/messages.rs
@@ -0,0 +1,150 @@
+//! Bodies of the engine's calls.
+
+use fulmarhead_lib::{
+    ids::{FencingNumber, LeaseId, ModelId, Position, RequestId, Tokens},
+    lease::Allocation,
+};
+use serde::{Deserialize, Serialize};
+
+/// Body of `POST /v1/completions`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Completion {
+    /// Model to run.
+    pub model: ModelId,
+    /// Text of the prompt.
+    pub prompt: String,
+    /// Most tokens to generate.
+    pub max_tokens: Tokens,
+    /// Priority; 0 is served first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Name of the stream for resume and cancel.
+    pub request_id: RequestId,
+    /// Position of the first token to send.
+    #[serde(default)]
+    pub position: Position,
+    /// Lease that holds the KV cache of a prompt over several engines.
+    #[serde(default)]
+    pub lease: Option<LeaseId>,
+    /// State of the segments before this prompt.
+    #[serde(default)]
+    pub previous: Option<String>,
+}
+
+/// Body of `POST /kv/{lease}/prefill`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// Text of the segment.
+    pub prompt: String,
+    /// State of the segments before this one.
+    #[serde(default)]
+    pub previous: Option<String>,
+    /// Request that the segment belongs to.
+    pub request_id: RequestId,
+    /// Priority; 0 is served first.
+    #[serde(default)]
+    pub priority: u8,
+}
+
+/// Answer to `POST /kv/{lease}/prefill`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentState {
+    /// State to pass with the next segment.
+    pub state: String,
+}
+
+/// Answer to `GET /kv`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allocations {
+    /// Memory in use by leases.
+    pub allocations: Vec<Allocation>,
+}
+
+/// Body of `PUT /kv/{lease}`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allocate {
+    /// Memory to allocate.
+    pub tokens: Tokens,
+}
+
+/// A model that an engine has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadedModel {
+    /// Name of the model.
+    pub model: ModelId,
+    /// Version of the model.
+    pub version: String,
+    /// Adapters beside the model.
+    pub adapters: Vec<String>,
+}
+
+/// Answer to `GET /load`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// How often the engine has restarted.
+    pub restarts: u64,
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait for their prefill.
+    pub waiting: u32,
+    /// Tokens of prompts that wait for their prefill.
+    pub prefill_waiting: Tokens,
+    /// KV cache in use.
+    pub kv_used: Tokens,
+    /// KV cache of the engine.
+    pub kv_total: Tokens,
+    /// Prefill rate of an idle engine, in tokens a second.
+    pub prefill_rate: Tokens,
+    /// Loaded models.
+    pub models: Vec<LoadedModel>,
+    /// Role of the engine.
+    pub role: String,
+    /// Highest fencing number of an order.
+    pub fencing: FencingNumber,
+}
+
+/// Body of `POST /orders`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRequest {
+    /// Fencing number of the agent that gives the order.
+    pub fencing: FencingNumber,
+    /// What to do.
+    pub order: Order,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Order {
+    /// Load a version of a model in place of the loaded one.
+    LoadModel {
+        /// Name of the model.
+        model: ModelId,
+        /// Version of the model.
+        version: String,
+    },
+    /// Unload a model.
+    UnloadModel {
+        /// Name of the model.
+        model: ModelId,
+    },
+    /// Load an adapter beside a model.
+    LoadAdapter {
+        /// Name of the model.
+        model: ModelId,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Unload an adapter.
+    UnloadAdapter {
+        /// Name of the model.
+        model: ModelId,
+        /// Name of the adapter.
+        adapter: String,
+    },
+    /// Change the role.
+    SetRole {
+        /// Name of the role.
+        role: String,
+    },
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for what the platform gives: targets and services with their abilities and faults.
+//!
+//! The interfaces are those of `docs/design/platform-protocols.md`.
+
+pub mod config_service;
+pub mod engine;
