--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -42,6 +42,13 @@
 
 /// A local fleet; its processes run once [`Fleet::run`] is awaited.
 pub struct Fleet {
+    handle: FleetHandle,
+    root: Supervisor,
+}
+
+/// Addresses and stand-ins of a local fleet.
+#[derive(Clone)]
+pub struct FleetHandle {
     /// Addresses of the entries for callers.
     pub callers: Vec<SocketAddr>,
     /// Addresses of the entries and agents for operators.
@@ -56,7 +63,14 @@
     pub engines: Vec<Arc<Engine>>,
     /// Application workers.
     pub workers: Vec<Arc<Application>>,
-    root: Supervisor,
+}
+
+impl FleetHandle {
+    /// Publishes a configuration.
+    pub fn publish(&self, document: &config::Fleet) -> Result<(), FleetError> {
+        self.store.publish(document.revision, &serde_json::to_string(document)?);
+        Ok(())
+    }
 }
 
 struct Bound {
@@ -110,10 +124,16 @@
     let document = plan.document(&engine_agents, &worker_agents, &controls);
     store.publish(document.revision, &serde_json::to_string(&document)?);
     let Builder { root, ops, .. } = builder;
-    Ok(Fleet { callers, ops, service, document, store, engines, workers, root })
+    let handle = FleetHandle { callers, ops, service, document, store, engines, workers };
+    Ok(Fleet { handle, root })
 }
 
 impl Fleet {
+    /// Returns the addresses and stand-ins.
+    pub fn handle(&self) -> FleetHandle {
+        self.handle.clone()
+    }
+
     /// Runs all processes until `shutdown` is cancelled.
     pub async fn run(self, shutdown: CancellationToken) -> TaskResult {
         self.root.run(shutdown).await
--- a/local/src/main.rs
+++ b/local/src/main.rs
@@ -1,8 +1,9 @@
 //! The program `fulmarhead-local`.
 
-use clap::Command;
-use fulmarhead_local::{Plan, TOKEN, start};
+use clap::{Arg, ArgAction, Command};
+use fulmarhead_local::{Fleet, Plan, TOKEN, demo, start};
 use fulmarhead_runtime::{
+    clock::SystemClock,
     process::run_until_terminated,
     settings::{Reader, flag},
     telemetry::{init_logs, install_metrics},
@@ -18,6 +19,11 @@
     Command::new("fulmarhead-local")
         .version(clap::crate_version!())
         .about("Runs entries, agents and stand-ins in one process on loopback ports")
+        .arg(
+            Arg::new("demo").long("demo").action(ArgAction::SetTrue).help(
+                "Send requests of all kinds, print what happened, and exit 0 if all was right",
+            ),
+        )
         .arg(
             flag("log-level", "FULMARHEAD_LOG_LEVEL", "off, error, warn, info, debug or trace")
                 .default_value("warn"),
@@ -37,14 +43,34 @@
         }
     };
     init_logs(level)?;
-    let fleet = start(Plan::default(), Some(install_metrics()?)).await?;
-    for address in &fleet.callers {
+    let plan = Plan::default();
+    let fleet = start(plan.clone(), Some(install_metrics()?)).await?;
+    if matches.get_flag("demo") {
+        return run_demo(&plan, fleet).await;
+    }
+    let handle = fleet.handle();
+    for address in &handle.callers {
         println!("entry for callers: http://{address} (bearer token {TOKEN})");
     }
-    for address in &fleet.ops {
+    for address in &handle.ops {
         println!("for operators: http://{address}/debug/state");
     }
     let shutdown = CancellationToken::new();
     run_until_terminated(fleet.run(shutdown.clone()), &shutdown).await?;
     Ok(ExitCode::SUCCESS)
 }
+
+async fn run_demo(plan: &Plan, fleet: Fleet) -> eyre::Result<ExitCode> {
+    let handle = fleet.handle();
+    let shutdown = CancellationToken::new();
+    let steps = async {
+        let rows = demo::run(plan, &handle, SystemClock::shared()).await;
+        shutdown.cancel();
+        rows
+    };
+    let (result, rows) = tokio::join!(fleet.run(shutdown.clone()), steps);
+    result?;
+    demo::print(&rows);
+    let passed = rows.iter().all(|row| row.passed);
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
