entry, agent, runtime: drain before stopping and notice lost peers

A stopping agent left new connections in its backlog without an answer; it now refuses work until the running work has ended, and an entry takes requests for a drain time after its readiness went off. Two operators who publish different content under one revision went unnoticed between processes; peers now compare digests. Refusals were not counted.

Ruled out for the stop: closing the listener first, since a caller can't tell a reset connection from a lost answer.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -16,13 +16,17 @@
     process::Readiness,
     supervisor::Connections,
 };
-use log::{error, info};
+use log::{error, info, warn};
 use std::{
     collections::BTreeMap,
+    future::pending,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{sleep, timeout},
+};
 use uuid::Uuid;
 
 /// Time without a tick of the monitor after which what the agent believes may be too old.
@@ -31,6 +35,9 @@
 /// Streams and leases that wait for the engine to drop them.
 const CLEANUP_QUEUE: usize = 4_096;
 
+/// Time between two looks at whether work still runs.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Most calls under a key that run at once.
 const MAX_CALLS: usize = 1_024;
 
@@ -54,6 +61,8 @@
     pub(crate) engine: EngineClient,
     pub(crate) readiness: Readiness,
     pub(crate) settled: watch::Sender<u64>,
+    /// Whether the target can't be read for so long that running work counts as lost.
+    pub(crate) lost: watch::Sender<bool>,
     pub(crate) cleanups: mpsc::Sender<Cleanup>,
     calls: Connections,
     core: Mutex<Core>,
@@ -119,6 +128,7 @@
             client,
             readiness,
             settled: watch::Sender::new(0),
+            lost: watch::Sender::new(false),
             cleanups,
             calls: Connections::new(MAX_CALLS),
             core: Mutex::new(core),
@@ -188,17 +198,23 @@
 
     /// Runs a call under its key in a task that outlives the connection of its entry.
     pub(crate) fn spawn_call(&self, call: impl Future<Output = ()> + Send + 'static) {
-        let calls = self.calls.clone();
-        self.calls.spawn_unlimited(async move {
-            let slot = calls.slot().await;
-            call.await;
-            drop(slot);
-        });
+        self.calls.spawn_queued(call);
     }
 
-    /// Waits for the calls that run under a key.
-    pub(crate) async fn finish_calls(&self) {
-        self.calls.finish().await;
+    /// Waits until no work runs, at most for the time that the settings allow.
+    ///
+    /// New work is refused meanwhile rather than left without an answer.
+    pub(crate) async fn drain(&self) {
+        let idle = async {
+            self.calls.finish().await;
+            while self.core().admission.running() > 0 {
+                sleep(DRAIN_INTERVAL).await;
+            }
+        };
+        if timeout(self.settings.stop_bound, idle).await.is_err() {
+            let running = self.core().admission.running();
+            warn!(running; "work did not finish in time; entries have to resume it elsewhere");
+        }
     }
 
     /// Tells the waiting connections that a key was settled.
@@ -206,6 +222,14 @@
         self.settled.send_modify(|count| *count += 1);
     }
 
+    /// Waits until the target counts as lost.
+    pub(crate) async fn target_lost(&self) {
+        let mut lost = self.lost.subscribe();
+        if lost.wait_for(|lost| *lost).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
     /// Asks the engine to drop something; a full queue leaves it to the engine's own limits.
     pub(crate) fn clean_up(&self, cleanup: Cleanup) {
         let _ = self.cleanups.try_send(cleanup);
--- a/agent/src/control/mod.rs
+++ b/agent/src/control/mod.rs
@@ -3,24 +3,20 @@
 use crate::agent::{Agent, Cleanup};
 use fulmarhead_lib::{
     config::Bundle,
-    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    control::{LeaseReply, LeaseRequest, Report, Stamp, SyncReply},
     ids::{LeaseId, Revision},
 };
 use fulmarhead_runtime::control::Handler;
 use log::info;
 
 impl Handler for Agent {
-    fn sync(&self, revision: Revision) -> SyncReply {
+    fn sync(&self, stamp: Stamp) -> SyncReply {
         let mut core = self.core();
         core.heard = Some(self.clock.now());
-        let own = core.view.revision();
+        let reply = core.view.compare(&stamp);
         // With a lower revision the agent waits for the newer configuration that follows.
-        core.unsynced &= own < revision;
-        match core.view.bundle() {
-            Some(bundle) if own > revision => SyncReply::Newer(bundle),
-            _ if own < revision => SyncReply::Behind(own),
-            _ => SyncReply::Current,
-        }
+        core.unsynced &= matches!(reply, SyncReply::Behind(_));
+        reply
     }
 
     fn adopt(&self, bundle: Bundle) -> Revision {
--- a/agent/src/seeds.rs
+++ b/agent/src/seeds.rs
@@ -63,7 +63,8 @@
 
 async fn ask(agent: &Agent, seed: SocketAddr) {
     let Ok(peer) = Peer::connect(seed, Arc::clone(&agent.clock)).await else { return };
-    match peer.sync(agent.revision()).await {
+    let stamp = agent.core().view.stamp();
+    match peer.sync(stamp).await {
         Ok(SyncReply::Newer(bundle)) => {
             agent.adopt(bundle);
         }
@@ -76,6 +77,9 @@
             }
         }
         Ok(SyncReply::Current) => agent.core().unsynced = false,
+        Ok(SyncReply::Conflict(stamp)) => {
+            agent.core().view.conflict(stamp.revision);
+        }
         Err(_) => {}
     }
 }
--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -19,6 +19,9 @@
 /// Gap between two ticks that shows that the process was paused.
 const PAUSED_AFTER: Duration = Duration::from_secs(2);
 
+/// Failed readings in a row after which work that runs at the target counts as lost.
+const LOST_AFTER: u32 = 3;
+
 /// Longest time for one reading.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -31,6 +34,7 @@
 pub(crate) async fn monitor(agent: Arc<Agent>, stop: CancellationToken) -> TaskResult {
     let mut ticks = interval_at(Instant::now(), INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failures = 0;
     loop {
         tokio::select! {
             () = stop.cancelled() => return Ok(()),
@@ -38,8 +42,16 @@
         }
         tick(&agent);
         match read(&agent).await {
-            Ok(load) => observe(&agent, load).await,
-            Err(error) => lose(&agent, &error),
+            Ok(load) => {
+                failures = 0;
+                agent.lost.send_replace(false);
+                observe(&agent, load).await;
+            }
+            Err(error) => {
+                failures += 1;
+                agent.lost.send_replace(failures >= LOST_AFTER);
+                lose(&agent, &error);
+            }
         }
     }
 }
--- a/agent/src/tree.rs
+++ b/agent/src/tree.rs
@@ -16,7 +16,7 @@
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
-use std::{io, sync::Arc};
+use std::{future::pending, io, sync::Arc};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -56,19 +56,19 @@
 ) -> TaskResult {
     let readiness = Readiness::default();
     let (agent, queue) = Agent::new(settings, Arc::clone(&clock), readiness.clone());
-    let watched = Arc::clone(&agent);
-    let on_shutdown = shutdown.clone();
-    let announce = async move {
-        on_shutdown.cancelled().await;
-        watched.begin_stop();
-    };
     let root = root(&agent, queue, listeners, readiness, metrics);
-    let result = tokio::select! {
-        result = root.run(shutdown) => result,
-        never = async { announce.await; std::future::pending().await } => never,
+    let stop = CancellationToken::new();
+    let drain = async {
+        shutdown.cancelled().await;
+        agent.begin_stop();
+        agent.drain().await;
+        stop.cancel();
+        pending().await
     };
-    agent.finish_calls().await;
-    result
+    tokio::select! {
+        result = root.run(stop.clone()) => result,
+        never = drain => never,
+    }
 }
 
 fn root(
--- a/agent/src/work/body.rs
+++ b/agent/src/work/body.rs
@@ -101,7 +101,13 @@
     stream::unfold(Some((answer, permit)), move |state| async move {
         let (mut answer, mut permit) = state?;
         loop {
-            let frame = timeout_at(deadline.instant().into(), answer.frame()).await;
+            let frame = tokio::select! {
+                frame = timeout_at(deadline.instant().into(), answer.frame()) => frame,
+                () = permit.agent.target_lost() => {
+                    permit.fail();
+                    return Some((Err(io::ErrorKind::ConnectionReset.into()), None));
+                }
+            };
             return match frame {
                 Err(_) => Some((Err(io::ErrorKind::TimedOut.into()), None)),
                 Ok(None) => {
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -96,7 +96,15 @@
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, axum::http::HeaderValue::from_static("application/json"));
     let call = agent.client.send(call.method, &call.endpoint, headers, call.body);
-    let answer = match timeout_at(deadline.instant().into(), call).await {
+    let call = timeout_at(deadline.instant().into(), call);
+    let answer = tokio::select! {
+        answer = call => answer,
+        () = agent.target_lost() => {
+            permit.fail();
+            return Err(Refusal::failed(Reason::TargetFailed).into());
+        }
+    };
+    let answer = match answer {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
             permit.fail();
--- a/entry/src/callers/applications.rs
+++ b/entry/src/callers/applications.rs
@@ -19,7 +19,6 @@
     request::{Cursor, Request},
 };
 use fulmarhead_runtime::work::IDEMPOTENCY_KEY;
-use log::info;
 use std::sync::Arc;
 
 /// Answers any method on `/apps/{application}/{path}`.
@@ -35,14 +34,7 @@
     let target = Target { application, path, method, uri };
     match run(&entry, id, target, &headers, body).await {
         Ok(response) => response,
-        Err(refusal) => {
-            info!(
-                target: "decision", request:% = id,
-                reason:% = refusal.reason, outcome:% = refusal.outcome;
-                "request refused"
-            );
-            Problem { request: id, refusal }.into_response()
-        }
+        Err(refusal) => Problem::refuse(id, refusal).into_response(),
     }
 }
 
--- a/entry/src/callers/completions.rs
+++ b/entry/src/callers/completions.rs
@@ -52,14 +52,7 @@
     let request = RequestId::now_v7();
     match start(&entry, style, request, &headers, body).await {
         Ok(response) => response,
-        Err(refusal) => {
-            info!(
-                target: "decision", request:%,
-                reason:% = refusal.reason, outcome:% = refusal.outcome;
-                "request refused"
-            );
-            Problem { request, refusal }.into_response()
-        }
+        Err(refusal) => Problem::refuse(request, refusal).into_response(),
     }
 }
 
--- a/entry/src/callers/problem.rs
+++ b/entry/src/callers/problem.rs
@@ -11,6 +11,7 @@
     ids::RequestId,
     outcome::{Reason, Refusal},
 };
+use log::info;
 use serde_json::{Value, json};
 use std::time::Duration;
 
@@ -22,6 +23,17 @@
 }
 
 impl Problem {
+    /// Refuses a request, in the log and the metrics as well.
+    pub(crate) fn refuse(request: RequestId, refusal: Refusal) -> Self {
+        let reason = <&'static str>::from(refusal.reason);
+        metrics::counter!("fulmarhead_refused_total", "reason" => reason).increment(1);
+        info!(
+            target: "decision", request:%, reason, outcome:% = refusal.outcome;
+            "request refused"
+        );
+        Self { request, refusal }
+    }
+
     /// Returns the members of the problem document.
     pub(crate) fn document(&self) -> Value {
         let refusal = &self.refusal;
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -3,21 +3,15 @@
 use crate::entry::Entry;
 use fulmarhead_lib::{
     config::Bundle,
-    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    control::{LeaseReply, LeaseRequest, Report, Stamp, SyncReply},
     ids::{LeaseId, Revision},
     outcome::{Reason, Refusal},
 };
 use fulmarhead_runtime::control::Handler;
 
 impl Handler for Entry {
-    fn sync(&self, revision: Revision) -> SyncReply {
-        let bundle = self.core().view.bundle();
-        let own = bundle.as_ref().map_or(0, |bundle| bundle.revision);
-        match bundle {
-            Some(bundle) if own > revision => SyncReply::Newer(bundle),
-            _ if own < revision => SyncReply::Behind(own),
-            _ => SyncReply::Current,
-        }
+    fn sync(&self, stamp: Stamp) -> SyncReply {
+        self.core().view.compare(&stamp)
     }
 
     fn adopt(&self, bundle: Bundle) -> Revision {
--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -184,7 +184,10 @@
     );
     let endpoint = Endpoint::new(address, call.path.clone());
     let sent = entry.client.send(call.method.clone(), &endpoint, headers, call.body.clone());
-    let answer = sent.await.map_err(|_| Lost::Connection)?;
+    let answer = tokio::select! {
+        answer = sent => answer.map_err(|_| Lost::Connection)?,
+        () = entry.target_lost(target) => return Err(Lost::Connection),
+    };
     if answer.headers().contains_key(REFUSAL) {
         return Err(Lost::Refused(read_refusal(answer).await));
     }
--- a/entry/src/dispatch/attempt.rs
+++ b/entry/src/dispatch/attempt.rs
@@ -30,7 +30,10 @@
 impl Attempt {
     /// Returns the next item of the stream.
     pub(super) async fn next(&mut self) -> Option<StreamItem> {
-        let item = self.events.next().await.ok();
+        let item = tokio::select! {
+            item = self.events.next() => item.ok(),
+            () = self.tally.entry.target_lost(&self.tally.target) => None,
+        };
         self.tally.first_token();
         item
     }
@@ -150,7 +153,10 @@
     let mut headers = work.to_headers().map_err(|_| malformed())?;
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let endpoint = Endpoint::new(known.work, path);
-    let answer = entry.client.send(Method::POST, &endpoint, headers, body).await;
+    let answer = tokio::select! {
+        answer = entry.client.send(Method::POST, &endpoint, headers, body) => answer,
+        () = entry.target_lost(target) => return Err(Refusal::failed(Reason::TargetFailed)),
+    };
     match answer {
         Ok(answer) if answer.status().is_success() => Ok(answer),
         Ok(answer) => Err(read_refusal(answer).await),
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -11,8 +11,17 @@
 };
 use fulmarhead_runtime::{http::Client, process::Readiness};
 use log::{error, info};
-use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::{mpsc, watch};
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
+
+/// Time between two looks at whether an agent still reports.
+const LOST_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Leases that wait to be released.
 const RELEASE_QUEUE: usize = 4_096;
@@ -79,6 +88,18 @@
         self.core.lock().expect("no holder of the lock panics")
     }
 
+    /// Waits until the agent of `target` has not reported for so long that its work is lost.
+    ///
+    /// A connection to a process that was paused or cut off gives no error by itself.
+    pub(crate) async fn target_lost(&self, target: &str) {
+        loop {
+            sleep(LOST_INTERVAL).await;
+            if self.core().known.is_lost(target, self.clock.now()) {
+                return;
+            }
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn fleet(&self) -> Result<Arc<Fleet>, Refusal> {
         self.core().view.fleet().ok_or(Refusal::not_run(Reason::NoConfiguration))
--- a/entry/src/known.rs
+++ b/entry/src/known.rs
@@ -37,12 +37,11 @@
     }
 
     /// Records the control connection to the agent of a target, or its loss.
+    ///
+    /// The last report is kept until it is too old: a connection that is set up again at once
+    /// must not break off the work at the target.
     pub(crate) fn connect(&mut self, target: &str, peer: Option<Peer>) {
-        let known = self.0.entry(target.to_owned()).or_default();
-        if peer.is_none() {
-            known.report = None;
-        }
-        known.peer = peer;
+        self.0.entry(target.to_owned()).or_default().peer = peer;
     }
 
     /// Forgets targets that the configuration does not name.
@@ -76,6 +75,13 @@
         self.0.get(target).and_then(|known| known.peer.clone())
     }
 
+    /// Returns whether the agent of a target has not reported for so long that work at it counts
+    /// as lost.
+    pub(crate) fn is_lost(&self, target: &str, now: Instant) -> bool {
+        let report = self.0.get(target).and_then(|known| known.report.as_ref());
+        report.is_none_or(|(_, at)| now.saturating_duration_since(*at) > REPORT_LIFETIME)
+    }
+
     /// Returns the life of the agent of a target, from its last report.
     pub(crate) fn incarnation(&self, target: &str) -> Option<Incarnation> {
         let (report, _) = self.0.get(target)?.report.as_ref()?;
@@ -122,7 +128,9 @@
                 let known = self.0.get(&target.id)?;
                 let (report, at) = known.report.as_ref()?;
                 let age = now.saturating_duration_since(*at);
-                let takes_work = report.phase == Phase::Serving && age <= REPORT_LIFETIME;
+                let connected = known.peer.is_some();
+                let takes_work =
+                    connected && report.phase == Phase::Serving && age <= REPORT_LIFETIME;
                 (takes_work && serves(report)).then(|| Candidate {
                     target: target.id.clone(),
                     zone: target.zone.clone(),
--- a/entry/src/peers/agent.rs
+++ b/entry/src/peers/agent.rs
@@ -3,7 +3,7 @@
 use crate::entry::Entry;
 use fulmarhead_lib::{control::SyncReply, ids::TargetId};
 use fulmarhead_runtime::control::{Peer, PeerError};
-use log::debug;
+use log::{debug, error};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -51,8 +51,15 @@
 
 /// Brings both sides to the higher revision.
 pub(super) async fn synchronize(entry: &Entry, peer: &Peer) -> Result<(), PeerError> {
-    match peer.sync(entry.revision()).await? {
+    let stamp = entry.core().view.stamp();
+    match peer.sync(stamp).await? {
         SyncReply::Current => {}
+        SyncReply::Conflict(stamp) => {
+            let revision = stamp.revision;
+            if entry.core().view.conflict(revision) {
+                error!(revision; "a peer has other content under the revision in force");
+            }
+        }
         SyncReply::Newer(bundle) => {
             entry.adopt(bundle);
         }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -28,7 +28,9 @@
     pub seeds: Vec<SocketAddr>,
     /// How targets are chosen.
     pub policy: PolicyKind,
-    /// Longest time for work to finish after a signal to stop.
+    /// Time after a signal to stop in which new requests are still taken.
+    pub drain_time: Duration,
+    /// Longest time for work to finish after that.
     pub stop_bound: Duration,
     /// Least severe log records that are written.
     pub log_level: LevelFilter,
@@ -54,6 +56,14 @@
             )
             .default_value("expected_wait"),
         )
+        .arg(
+            flag(
+                "drain-seconds",
+                "FULMARHEAD_DRAIN_SECONDS",
+                "Time after a signal to stop in which new requests are still taken",
+            )
+            .default_value("5"),
+        )
         .arg(
             flag("stop-seconds", "FULMARHEAD_STOP_SECONDS", "Time for work to finish at the end")
                 .default_value("30"),
@@ -76,6 +86,7 @@
         let service = reader.required("service");
         let seeds = reader.list("seeds");
         let policy = reader.required("policy");
+        let drain_seconds = reader.required("drain-seconds");
         let stop_seconds = reader.required("stop-seconds");
         let log_level = reader.required("log-level");
         reader.finish_with(|| {
@@ -88,6 +99,7 @@
                 service: service?,
                 seeds,
                 policy: policy?,
+                drain_time: Duration::from_secs(drain_seconds?),
                 stop_bound: Duration::from_secs(stop_seconds?),
                 log_level: log_level?,
             })
--- a/entry/src/tree.rs
+++ b/entry/src/tree.rs
@@ -16,8 +16,8 @@
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
-use std::{io, sync::Arc};
-use tokio::net::TcpListener;
+use std::{future::pending, io, sync::Arc};
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// The bound listeners of an entry.
@@ -54,16 +54,19 @@
 ) -> TaskResult {
     let readiness = Readiness::default();
     let (entry, queue) = Entry::new(settings, clock, readiness.clone());
-    let watched = Arc::clone(&entry);
-    let on_shutdown = shutdown.clone();
-    let announce = async move {
-        on_shutdown.cancelled().await;
-        watched.begin_stop();
-    };
     let root = root(&entry, queue, listeners, readiness, metrics);
+    let stop = CancellationToken::new();
+    let drain = async {
+        shutdown.cancelled().await;
+        entry.begin_stop();
+        // The balancer sends new requests until it has seen that the entry is not ready.
+        sleep(entry.settings.drain_time).await;
+        stop.cancel();
+        pending().await
+    };
     tokio::select! {
-        result = root.run(shutdown) => result,
-        never = async { announce.await; std::future::pending().await } => never,
+        result = root.run(stop.clone()) => result,
+        never = drain => never,
     }
 }
 
--- a/lib/src/config/view.rs
+++ b/lib/src/config/view.rs
@@ -4,9 +4,13 @@
     document::Fleet,
     validate::{ConfigError, parse},
 };
-use crate::{digest::sha256_hex, ids::Revision};
+use crate::{
+    control::{Stamp, SyncReply},
+    digest::sha256_hex,
+    ids::Revision,
+};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{cmp::Ordering, sync::Arc};
 
 /// A document as processes pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +88,40 @@
         self.current.as_ref().map_or(0, |(_, bundle, _)| bundle.revision)
     }
 
+    /// Returns the name of the configuration in force.
+    pub fn stamp(&self) -> Stamp {
+        let stamp = |(_, bundle, digest): &(Arc<Fleet>, Bundle, String)| Stamp {
+            revision: bundle.revision,
+            digest: digest.clone(),
+        };
+        self.current.as_ref().map(stamp).unwrap_or_default()
+    }
+
+    /// Compares the configuration in force with that of a peer.
+    ///
+    /// The same revision with other content is kept as the last error: two operators have
+    /// published under one number, and only a higher revision ends it.
+    pub fn compare(&mut self, peer: &Stamp) -> SyncReply {
+        let own = self.stamp();
+        match own.revision.cmp(&peer.revision) {
+            Ordering::Less => SyncReply::Behind(own.revision),
+            Ordering::Greater => self.bundle().map_or(SyncReply::Current, SyncReply::Newer),
+            Ordering::Equal if own.digest == peer.digest => SyncReply::Current,
+            Ordering::Equal => {
+                self.conflict(own.revision);
+                SyncReply::Conflict(own)
+            }
+        }
+    }
+
+    /// Records that a peer has other content under `revision`; returns whether this is new.
+    pub fn conflict(&mut self, revision: Revision) -> bool {
+        let error = Some(ConfigError::Conflict(revision));
+        let is_new = self.error != error;
+        self.error = error;
+        is_new
+    }
+
     /// Returns why the last offered document was refused, if none was adopted since.
     pub fn last_error(&self) -> Option<&ConfigError> {
         self.error.as_ref()
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -10,15 +10,26 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Answer to a process that gave its revision.
+/// Names a configuration: the revision and the digest of its content.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Revision, 0 if there is no configuration.
+    pub revision: Revision,
+    /// SHA-256 digest of the document, in hexadecimal.
+    pub digest: String,
+}
+
+/// Answer to a process that gave the stamp of its configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SyncReply {
-    /// Both processes have the same revision.
+    /// Both processes have the same configuration.
     Current,
     /// The asked process has this newer configuration.
     Newer(Bundle),
     /// The asked process has this older revision and wants the newer one.
     Behind(Revision),
+    /// The asked process has the same revision with other content.
+    Conflict(Stamp),
 }
 
 /// State of an agent and its target, as entries use it for routing.
--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -205,6 +205,7 @@
             service: self.service,
             seeds: Vec::new(),
             policy: PolicyKind::default(),
+            drain_time: Duration::ZERO,
             stop_bound: STOP_BOUND,
             log_level: LevelFilter::Off,
         };
--- a/runtime/src/control/client.rs
+++ b/runtime/src/control/client.rs
@@ -4,7 +4,7 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     config::Bundle,
-    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    control::{LeaseReply, LeaseRequest, Report, Stamp, SyncReply},
     ids::{LeaseId, Revision},
 };
 use std::{io, net::SocketAddr, time::Duration};
@@ -55,9 +55,9 @@
         Ok(Self { client, clock })
     }
 
-    /// Compares revisions.
-    pub async fn sync(&self, revision: Revision) -> Result<SyncReply, PeerError> {
-        Ok(self.client.sync(self.context(), revision).await?)
+    /// Compares configurations.
+    pub async fn sync(&self, stamp: Stamp) -> Result<SyncReply, PeerError> {
+        Ok(self.client.sync(self.context(), stamp).await?)
     }
 
     /// Offers a configuration; returns the peer's revision afterwards.
--- a/runtime/src/control/protocol.rs
+++ b/runtime/src/control/protocol.rs
@@ -3,15 +3,15 @@
 
 use fulmarhead_lib::{
     config::Bundle,
-    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    control::{LeaseReply, LeaseRequest, Report, Stamp, SyncReply},
     ids::{LeaseId, Revision},
 };
 
 /// Calls that entries and agents answer.
 #[tarpc::service]
 pub trait Control {
-    /// Compares revisions and returns the newer configuration, if the callee has it.
-    async fn sync(revision: Revision) -> SyncReply;
+    /// Compares configurations and returns the newer one, if the callee has it.
+    async fn sync(stamp: Stamp) -> SyncReply;
 
     /// Offers a configuration; returns the revision in force afterwards.
     async fn adopt(bundle: Bundle) -> Revision;
--- a/runtime/src/control/server.rs
+++ b/runtime/src/control/server.rs
@@ -4,7 +4,7 @@
 use crate::supervisor::{Connections, TaskResult};
 use fulmarhead_lib::{
     config::Bundle,
-    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    control::{LeaseReply, LeaseRequest, Report, Stamp, SyncReply},
     ids::{LeaseId, Revision},
 };
 use futures::StreamExt;
@@ -28,8 +28,8 @@
 
 /// Answers the calls of the control protocol. No answer waits for anything.
 pub trait Handler: Send + Sync + 'static {
-    /// Compares revisions.
-    fn sync(&self, revision: Revision) -> SyncReply;
+    /// Compares configurations.
+    fn sync(&self, stamp: Stamp) -> SyncReply;
 
     /// Takes an offered configuration; returns the revision in force afterwards.
     fn adopt(&self, bundle: Bundle) -> Revision;
@@ -51,8 +51,8 @@
 struct Answers(Arc<dyn Handler>);
 
 impl Control for Answers {
-    async fn sync(self, _: Context, revision: Revision) -> SyncReply {
-        self.0.sync(revision)
+    async fn sync(self, _: Context, stamp: Stamp) -> SyncReply {
+        self.0.sync(stamp)
     }
 
     async fn adopt(self, _: Context, bundle: Bundle) -> Revision {
--- a/runtime/src/supervisor/connections.rs
+++ b/runtime/src/supervisor/connections.rs
@@ -46,9 +46,14 @@
         });
     }
 
-    /// Runs a task that takes a slot by itself when it has to wait for one.
-    pub fn spawn_unlimited(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.tracker.spawn(task);
+    /// Runs a task as soon as there is room for it; it is not asked to finish early.
+    pub fn spawn_queued(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let slots = Arc::clone(&self.slots);
+        self.tracker.spawn(async move {
+            let permit = slots.acquire_owned().await;
+            task.await;
+            drop(permit);
+        });
     }
 
     /// Returns how many connections are open.
