entry, agent: count refusals, admissions and revisions

Operators need the figures behind the decisions in the metrics as well as in the log. Adds counters of refusals and admissions by reason and gauges of the cap, running work, leases, keys and the revision.

--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -1,6 +1,6 @@
 //! Reads the target's load and notices restarts and long pauses.
 
-use crate::agent::Agent;
+use crate::agent::{Agent, Core};
 use fulmarhead_lib::config::Kind;
 use fulmarhead_runtime::{
     http::{ClientError, Endpoint},
@@ -97,6 +97,7 @@
     core.load = load;
     core.seen = true;
     let serving = core.view.fleet().is_some() && !core.stopping;
+    record(agent, &core);
     drop(core);
     agent.readiness.set(serving);
     if restarted {
@@ -107,6 +108,18 @@
     }
 }
 
+fn record(agent: &Agent, core: &Core) {
+    let gauge = |name: &'static str, value: u64| {
+        let target = agent.settings.target.clone();
+        metrics::gauge!(name, "target" => target).set(value as f64);
+    };
+    gauge("fulmarhead_running", core.admission.running().into());
+    gauge("fulmarhead_cap", core.admission.limit().into());
+    gauge("fulmarhead_leased_tokens", core.leases.used());
+    gauge("fulmarhead_keys", core.keys.len() as u64);
+    gauge("fulmarhead_revision", core.view.revision());
+}
+
 /// Takes over the memory that leases of an earlier life hold.
 async fn rebuild_leases(agent: &Agent) -> bool {
     match agent.engine.allocations().await {
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -75,6 +75,7 @@
     let (request, attempt) = (work.request, work.attempt);
     match result {
         Ok(()) => {
+            metrics::counter!("fulmarhead_attempts_admitted_total").increment(1);
             info!(target: "decision", request:%, attempt, running, cap, revision; "attempt admitted");
             Ok(Permit::new(Arc::clone(agent), work))
         }
--- a/agent/src/work/refuse.rs
+++ b/agent/src/work/refuse.rs
@@ -40,9 +40,10 @@
 
 /// Writes the decision to refuse an attempt to the log.
 pub(crate) fn log_refusal(request: RequestId, attempt: AttemptNumber, refusal: &Refusal) {
+    let reason = <&'static str>::from(refusal.reason);
+    metrics::counter!("fulmarhead_attempts_refused_total", "reason" => reason).increment(1);
     info!(
-        target: "decision", request:%, attempt,
-        reason:% = refusal.reason, outcome:% = refusal.outcome;
+        target: "decision", request:%, attempt, reason, outcome:% = refusal.outcome;
         "attempt refused"
     );
 }
--- a/entry/src/callers/keys.rs
+++ b/entry/src/callers/keys.rs
@@ -24,8 +24,8 @@
     headers: HeaderMap,
 ) -> Result<(StatusCode, Json<Value>), Problem> {
     let request = RequestId::now_v7();
-    let key =
-        choose(&entry, &application, &headers).map_err(|refusal| Problem { request, refusal })?;
+    let key = choose(&entry, &application, &headers)
+        .map_err(|refusal| Problem::refuse(request, refusal))?;
     info!(target: "decision", request:%, target_id = key.target, key:% = key.id; "key issued");
     Ok((StatusCode::CREATED, Json(json!({ "key": key.to_string() }))))
 }
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -119,11 +119,16 @@
         match result {
             Ok(Adoption::Adopted) => {
                 info!(revision = offered; "configuration adopted");
+                metrics::gauge!("fulmarhead_revision", "entry" => self.settings.id.clone())
+                    .set(revision as f64);
                 self.readiness.set(ready);
                 self.revision.send_replace(revision);
             }
             Ok(_) => {}
-            Err(error) => error!(revision = offered, error:%; "configuration refused"),
+            Err(error) => {
+                metrics::counter!("fulmarhead_config_refused_total").increment(1);
+                error!(revision = offered, error:%; "configuration refused");
+            }
         }
         revision
     }
