runtime, local: count control bytes, measure the process, size the fleet

The control transport counts its bytes, /metrics gives the process's own figures, and fulmarhead-local takes the numbers of entries, engines, workers and teams, a fixed port for the configuration service, and an agent that runs as a process of its own. Both listeners share one accept loop, which no longer fails a supervisor child on an accept error.

--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -7,7 +7,6 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     config::{self, Kind},
-    routing::PolicyKind,
 };
 use fulmarhead_runtime::{
     clock::SystemClock,
@@ -94,7 +93,7 @@
     let clock = SystemClock::shared();
     let store = Arc::new(ConfigStore::default());
     let mut root = Supervisor::new("fleet", Arc::clone(&clock)).stop_bound(STOP_BOUND);
-    let (service, listener) = listen().await?;
+    let (service, listener) = listen_on(plan.service_port).await?;
     root = serve(root, "configuration service", listener, store.router());
 
     let mut builder = Builder { clock, metrics, service, root, ops: Vec::new() };
@@ -204,7 +203,7 @@
             ops,
             service: self.service,
             seeds: Vec::new(),
-            policy: PolicyKind::default(),
+            policy: plan.policy,
             drain_time: Duration::ZERO,
             stop_bound: STOP_BOUND,
             log_level: LevelFilter::Off,
@@ -230,7 +229,11 @@
 }
 
 async fn listen() -> io::Result<(SocketAddr, TcpListener)> {
-    let listener = bind().await?;
+    listen_on(0).await
+}
+
+async fn listen_on(port: u16) -> io::Result<(SocketAddr, TcpListener)> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await?;
     Ok((listener.local_addr()?, listener))
 }
 
--- a/local/src/lib.rs
+++ b/local/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod demo;
 mod fleet;
 mod plan;
+mod settings;
 
 pub use self::{
     fleet::{Fleet, FleetError, FleetHandle, start},
-    plan::{Plan, TOKEN},
+    plan::{AgentAddresses, Plan, TOKEN, team_token},
+    settings::{Settings, command},
 };
--- a/local/src/main.rs
+++ b/local/src/main.rs
@@ -1,54 +1,34 @@
 //! The program `fulmarhead-local`.
 
-use clap::{Arg, ArgAction, Command};
-use fulmarhead_local::{Fleet, Plan, TOKEN, demo, start};
+use fulmarhead_local::{Fleet, Plan, Settings, TOKEN, command, demo, start};
 use fulmarhead_runtime::{
     clock::SystemClock,
     process::run_until_terminated,
-    settings::{Reader, flag},
     telemetry::{init_logs, install_metrics},
 };
-use log::LevelFilter;
 use std::process::ExitCode;
 use tokio_util::sync::CancellationToken;
 
 /// Exit code for invalid settings.
 const INVALID_SETTINGS: u8 = 2;
 
-fn command() -> Command {
-    Command::new("fulmarhead-local")
-        .version(clap::crate_version!())
-        .about("Runs entries, agents and stand-ins in one process on loopback ports")
-        .arg(
-            Arg::new("demo").long("demo").action(ArgAction::SetTrue).help(
-                "Send requests of all kinds, print what happened, and exit 0 if all was right",
-            ),
-        )
-        .arg(
-            flag("log-level", "FULMARHEAD_LOG_LEVEL", "off, error, warn, info, debug or trace")
-                .default_value("warn"),
-        )
-}
-
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let matches = command().get_matches();
-    let mut reader = Reader::new(&matches);
-    let level = reader.required::<LevelFilter>("log-level");
-    let level = match reader.finish_with(|| level) {
-        Ok(level) => level,
+    let settings = match Settings::read(&command().get_matches()) {
+        Ok(settings) => settings,
         Err(errors) => {
             eprintln!("{errors}");
             return Ok(ExitCode::from(INVALID_SETTINGS));
         }
     };
-    init_logs(level)?;
-    let plan = Plan::default();
+    init_logs(settings.log_level)?;
+    let plan = settings.plan;
     let fleet = start(plan.clone(), Some(install_metrics()?)).await?;
-    if matches.get_flag("demo") {
+    if settings.demo {
         return run_demo(&plan, fleet).await;
     }
     let handle = fleet.handle();
+    println!("configuration service: http://{}", handle.service);
     for address in &handle.callers {
         println!("entry for callers: http://{address} (bearer token {TOKEN})");
     }
--- a/local/src/plan.rs
+++ b/local/src/plan.rs
@@ -4,11 +4,12 @@
     config::{Application, Bounds, Entry, Fleet, Kind, Model, Policy, Route, Target, Team, Zone},
     digest::sha256_hex,
     ids::{ApplicationId, ModelId, Revision, ZoneId},
+    routing::PolicyKind,
 };
 use standins::{application::ApplicationSettings, engine::EngineSettings};
 use std::net::SocketAddr;
 
-/// Bearer token of the local team.
+/// Bearer token of the first team.
 pub const TOKEN: &str = "local-token";
 
 /// Kinds and numbers of a local fleet.
@@ -30,6 +31,14 @@
     pub engine: EngineSettings,
     /// Abilities of each worker.
     pub worker: ApplicationSettings,
+    /// Number of teams.
+    pub teams: usize,
+    /// How entries choose targets.
+    pub policy: PolicyKind,
+    /// Port of the configuration service, 0 for any.
+    pub service_port: u16,
+    /// An engine whose agent is a process of its own.
+    pub extra: Option<AgentAddresses>,
 }
 
 impl Default for Plan {
@@ -43,15 +52,21 @@
             application: "yard-desk".to_owned(),
             engine: EngineSettings::default(),
             worker: ApplicationSettings::default(),
+            teams: 1,
+            policy: PolicyKind::default(),
+            service_port: 0,
+            extra: None,
         }
     }
 }
 
 /// Addresses of an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct AgentAddresses {
-    pub(crate) work: SocketAddr,
-    pub(crate) control: SocketAddr,
+pub struct AgentAddresses {
+    /// Address for work.
+    pub work: SocketAddr,
+    /// Address for control messages.
+    pub control: SocketAddr,
 }
 
 impl Plan {
@@ -67,7 +82,8 @@
         workers: &[AgentAddresses],
         entries: &[SocketAddr],
     ) -> Fleet {
-        let engines = engines.iter().enumerate().map(|(index, at)| self.engine(index, *at));
+        let engines = engines.iter().chain(&self.extra).enumerate();
+        let engines = engines.map(|(index, at)| self.engine(index, *at));
         let workers = workers.iter().enumerate().map(|(index, at)| self.worker(index, *at));
         Fleet {
             revision: FIRST_REVISION,
@@ -75,7 +91,7 @@
             models: vec![Model { id: self.model.clone(), max_tokens: 1_100_000 }],
             targets: engines.chain(workers).collect(),
             entries: entries.iter().enumerate().map(|(i, &at)| self.entry(i, at)).collect(),
-            teams: vec![self.team()],
+            teams: (0..self.teams).map(|index| self.team(index)).collect(),
             applications: vec![self.application()],
             bounds: Bounds::default(),
             policy: Policy::default(),
@@ -113,10 +129,10 @@
         Entry { id: entry_id(index), zone: self.zone(index), control }
     }
 
-    fn team(&self) -> Team {
+    fn team(&self, index: usize) -> Team {
         Team {
-            id: "local".to_owned(),
-            token_sha256: sha256_hex(TOKEN.as_bytes()),
+            id: format!("team-{}", index + 1),
+            token_sha256: sha256_hex(team_token(index).as_bytes()),
             models: vec![self.model.clone()],
             applications: vec![self.application.clone()],
             priority: 0,
@@ -141,6 +157,14 @@
 /// Revision of the first document.
 const FIRST_REVISION: Revision = 1;
 
+/// Returns the bearer token of the team with the given index.
+pub fn team_token(index: usize) -> String {
+    match index {
+        0 => TOKEN.to_owned(),
+        _ => format!("{TOKEN}-{}", index + 1),
+    }
+}
+
 /// Returns the name of an engine.
 pub(crate) fn engine_id(index: usize) -> String {
     format!("engine-{}", index + 1)
--- /dev/null
+++ b/local/src/settings.rs
@@ -0,0 +1,92 @@
+//! Settings of `fulmarhead-local`.
+
+use crate::plan::{AgentAddresses, Plan};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
+use log::LevelFilter;
+
+/// Settings of `fulmarhead-local`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// What the fleet consists of.
+    pub plan: Plan,
+    /// Whether to run the demo.
+    pub demo: bool,
+    /// Least severe log records that are written.
+    pub log_level: LevelFilter,
+}
+
+/// Returns the command line of `fulmarhead-local`.
+pub fn command() -> Command {
+    Command::new("fulmarhead-local")
+        .version(clap::crate_version!())
+        .about("Runs entries, agents and stand-ins in one process on loopback ports")
+        .arg(
+            Arg::new("demo").long("demo").action(ArgAction::SetTrue).help(
+                "Send requests of all kinds, print what happened, and exit 0 if all was right",
+            ),
+        )
+        .arg(flag("entries", "FULMARHEAD_ENTRIES", "Number of entries").default_value("2"))
+        .arg(flag("engines", "FULMARHEAD_ENGINES", "Number of model engines").default_value("6"))
+        .arg(
+            flag("workers", "FULMARHEAD_WORKERS", "Number of application workers")
+                .default_value("3"),
+        )
+        .arg(flag("teams", "FULMARHEAD_TEAMS", "Number of teams").default_value("1"))
+        .arg(
+            flag(
+                "policy",
+                "FULMARHEAD_POLICY",
+                "round_robin, least_load, two_choices or expected_wait",
+            )
+            .default_value("expected_wait"),
+        )
+        .arg(
+            flag("service-port", "FULMARHEAD_SERVICE_PORT", "Port of the configuration service")
+                .default_value("0"),
+        )
+        .arg(flag(
+            "extra-work",
+            "FULMARHEAD_EXTRA_WORK",
+            "Address for work of an agent that runs as a process of its own",
+        ))
+        .arg(flag(
+            "extra-control",
+            "FULMARHEAD_EXTRA_CONTROL",
+            "Address for control messages of that agent",
+        ))
+        .arg(
+            flag("log-level", "FULMARHEAD_LOG_LEVEL", "off, error, warn, info, debug or trace")
+                .default_value("warn"),
+        )
+}
+
+impl Settings {
+    /// Reads the settings from the parsed command line.
+    pub fn read(matches: &ArgMatches) -> Result<Self, SettingErrors> {
+        let mut reader = Reader::new(matches);
+        let entries = reader.required("entries");
+        let engines = reader.required("engines");
+        let workers = reader.required("workers");
+        let teams = reader.required("teams");
+        let policy = reader.required("policy");
+        let service_port = reader.required("service-port");
+        let work = reader.optional("extra-work");
+        let control = reader.optional("extra-control");
+        let log_level = reader.required("log-level");
+        let extra = work.zip(control).map(|(work, control)| AgentAddresses { work, control });
+        reader.finish_with(|| {
+            let plan = Plan {
+                entries: entries?,
+                engines: engines?,
+                workers: workers?,
+                teams: teams?,
+                policy: policy?,
+                service_port: service_port?,
+                extra,
+                ..Plan::default()
+            };
+            Some(Self { plan, demo: matches.get_flag("demo"), log_level: log_level? })
+        })
+    }
+}
--- a/runtime/src/control/client.rs
+++ b/runtime/src/control/client.rs
@@ -1,6 +1,6 @@
 //! The calling side of the control protocol.
 
-use super::protocol::ControlClient;
+use super::{protocol::ControlClient, transport::wire};
 use fulmarhead_lib::{
     clock::SharedClock,
     config::Bundle,
@@ -11,10 +11,8 @@
 use tarpc::{
     client::{Config, RpcError},
     context::{self, Context},
-    serde_transport,
-    tokio_serde::formats::Bincode,
 };
-use tokio::time::timeout;
+use tokio::{net::TcpStream, time::timeout};
 
 /// Longest time for a connection to be set up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,12 +44,10 @@
 impl Peer {
     /// Connects to the process at `address`.
     pub async fn connect(address: SocketAddr, clock: SharedClock) -> Result<Self, PeerError> {
-        let mut connect = serde_transport::tcp::connect(address, Bincode::default);
-        connect.config_mut().max_frame_length(super::server::MAX_FRAME);
-        let transport = timeout(CONNECT_TIMEOUT, connect)
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| PeerError::ConnectTimeout(CONNECT_TIMEOUT))??;
-        let client = ControlClient::new(Config::default(), transport).spawn();
+        let client = ControlClient::new(Config::default(), wire(stream)?).spawn();
         Ok(Self { client, clock })
     }
 
--- a/runtime/src/control/mod.rs
+++ b/runtime/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod protocol;
 mod server;
+mod transport;
 
 pub use self::{
     client::{Peer, PeerError},
--- a/runtime/src/control/server.rs
+++ b/runtime/src/control/server.rs
@@ -1,6 +1,6 @@
 //! The answering side of the control protocol.
 
-use super::protocol::Control;
+use super::{protocol::Control, transport::wire};
 use crate::supervisor::{Connections, TaskResult};
 use fulmarhead_lib::{
     config::Bundle,
@@ -9,20 +9,14 @@
 };
 use futures::StreamExt;
 use log::debug;
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 use tarpc::{
     context::Context,
-    serde_transport,
     server::{BaseChannel, Channel},
-    tokio_serde::formats::Bincode,
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-/// Largest message, in bytes: a whole configuration of the design size.
-pub(super) const MAX_FRAME: usize = 32 << 20;
-
 /// Most open control connections.
 const MAX_CONNECTIONS: usize = 2_000;
 
@@ -91,14 +85,9 @@
 
     /// Answers calls with `handler` until `stop` is cancelled.
     pub async fn run(self, handler: Arc<dyn Handler>, stop: CancellationToken) -> TaskResult {
-        loop {
-            let slot = self.connections.slot().await;
-            let (stream, peer) = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = self.listener.accept() => accepted?,
-            };
+        while let Some((slot, stream)) = self.connections.accept(&self.listener, &stop).await {
             let service = Answers(Arc::clone(&handler));
-            self.connections.spawn(slot, |stop| answer(service, stream, peer, stop));
+            self.connections.spawn(slot, |stop| answer(service, stream, stop));
         }
         self.connections.finish().await;
         Ok(())
@@ -106,16 +95,12 @@
 }
 
 /// Answers the calls of one connection in their order.
-async fn answer(service: Answers, stream: TcpStream, peer: SocketAddr, stop: CancellationToken) {
-    let _ = stream.set_nodelay(true);
-    let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME);
-    let framed = Framed::new(stream, codec);
-    let transport = serde_transport::new(framed, Bincode::default());
+async fn answer(service: Answers, stream: TcpStream, stop: CancellationToken) {
+    let Ok(transport) = wire(stream) else { return };
     let calls = BaseChannel::with_defaults(transport).execute(service.serve());
     let answers = calls.for_each(|call| call);
     tokio::select! {
         () = stop.cancelled() => {}
-        () = answers => debug!(peer:%; "control connection closed"),
+        () = answers => debug!("control connection closed"),
     }
 }
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -9,15 +9,9 @@
 };
 use log::debug;
 use std::{sync::Arc, time::Duration};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-/// Pause after a failed accept, such as one for lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSettings {
@@ -60,22 +54,8 @@
 
     /// Accepts connections until `stop` is cancelled, then lets the open ones finish.
     pub async fn run(self, stop: CancellationToken) -> TaskResult {
-        loop {
-            let slot = tokio::select! {
-                () = stop.cancelled() => break,
-                slot = self.connections.slot() => slot,
-            };
-            let accepted = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = self.listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.connections.spawn(slot, |stop| self.serve(stream, stop)),
-                Err(error) => {
-                    debug!(error:%; "accept failed");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
+        while let Some((slot, stream)) = self.connections.accept(&self.listener, &stop).await {
+            self.connections.spawn(slot, |stop| self.serve(stream, stop));
         }
         self.connections.finish().await;
         Ok(())
--- a/runtime/src/ops.rs
+++ b/runtime/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::{process::Readiness, telemetry::MetricsHandle};
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use metrics_process::Collector;
 use std::{fmt::Debug, sync::Arc};
 
 /// A process that can show its whole state.
@@ -45,6 +46,7 @@
 }
 
 async fn render(State(ops): State<Ops>) -> String {
+    Collector::default().collect();
     ops.metrics.map(|metrics| metrics.render()).unwrap_or_default()
 }
 
--- a/runtime/src/supervisor/connections.rs
+++ b/runtime/src/supervisor/connections.rs
@@ -1,10 +1,17 @@
 //! Temporary children: one task for each connection.
 
-use futures::future::Future;
-use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use log::debug;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::sleep,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The tasks of accepted connections, which are never restarted.
 #[derive(Clone, Debug)]
 pub struct Connections {
@@ -27,10 +34,29 @@
         }
     }
 
-    /// Waits for room for one more connection.
-    pub async fn slot(&self) -> Slot {
-        let permit = Arc::clone(&self.slots).acquire_owned().await;
-        Slot(permit.expect("the semaphore is never closed"))
+    /// Accepts the next connection once there is room for it; returns nothing after `stop`.
+    pub async fn accept(
+        &self,
+        listener: &TcpListener,
+        stop: &CancellationToken,
+    ) -> Option<(Slot, TcpStream)> {
+        let accepted = async {
+            let permit = Arc::clone(&self.slots).acquire_owned().await;
+            let slot = Slot(permit.expect("the semaphore is never closed"));
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => return (slot, stream),
+                    Err(error) => {
+                        debug!(error:%; "accept failed");
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            () = stop.cancelled() => None,
+            accepted = accepted => Some(accepted),
+        }
     }
 
     /// Runs the task of a connection; it gets the token that asks it to finish.
