--- a/standins/src/application/http.rs
+++ b/standins/src/application/http.rs
@@ -17,7 +17,7 @@
     pub fn router(self: &Arc<Self>) -> Router {
         Router::new()
             .route("/load", get(load))
-            .route("/effects", get(effects))
+            .route("/effects", get(effects).post(record))
             .fallback(call)
             .with_state(Arc::clone(self))
     }
@@ -36,6 +36,17 @@
     Json(application.effects())
 }
 
+/// Records an effect that another worker reports.
+async fn record(
+    State(application): State<Arc<Application>>,
+    Json(effect): Json<Effect>,
+) -> StatusCode {
+    match application.record(effect).await {
+        Ok(_) => StatusCode::NO_CONTENT,
+        Err(_) => StatusCode::BAD_GATEWAY,
+    }
+}
+
 /// Answers a call; any method but GET has an effect.
 async fn call(
     State(application): State<Arc<Application>>,
@@ -54,9 +65,8 @@
         call: format!("{method} {}", uri.path()),
         body,
     };
-    let mut state = application.lock();
-    state.effects.push(effect);
-    let number = state.effects.len();
-    drop(state);
-    (StatusCode::CREATED, Json(json!({ "order": number }))).into_response()
+    match application.record(effect).await {
+        Ok(number) => (StatusCode::CREATED, Json(json!({ "order": number }))).into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
 }
--- a/standins/src/application/state.rs
+++ b/standins/src/application/state.rs
@@ -1,11 +1,17 @@
 //! State of an application worker.
 
+use fulmarhead_runtime::http::{Client, ClientError, Endpoint};
+use hyper::Method;
 use serde::{Deserialize, Serialize};
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
+/// Longest time for the recorder to answer.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Abilities of an application worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ApplicationSettings {
@@ -13,11 +19,13 @@
     pub service_time: Duration,
     /// Calls at once.
     pub capacity: u32,
+    /// Recorder that keeps the effects when the worker is killed.
+    pub recorder: Option<SocketAddr>,
 }
 
 impl Default for ApplicationSettings {
     fn default() -> Self {
-        Self { service_time: Duration::from_millis(10), capacity: 64 }
+        Self { service_time: Duration::from_millis(10), capacity: 64, recorder: None }
     }
 }
 
@@ -36,6 +44,7 @@
 #[derive(Debug)]
 pub struct Application {
     pub(super) settings: ApplicationSettings,
+    client: Client,
     state: Mutex<ApplicationState>,
 }
 
@@ -48,7 +57,7 @@
 impl Application {
     /// Returns a worker without effects.
     pub fn new(settings: ApplicationSettings) -> Arc<Self> {
-        Arc::new(Self { settings, state: Mutex::default() })
+        Arc::new(Self { settings, client: Client::default(), state: Mutex::default() })
     }
 
     /// Returns all effects in their order.
@@ -56,6 +65,17 @@
         self.lock().effects.clone()
     }
 
+    /// Records an effect, at the recorder too if there is one; returns the number of effects.
+    pub(super) async fn record(&self, effect: Effect) -> Result<usize, ClientError> {
+        if let Some(recorder) = self.settings.recorder {
+            let endpoint = Endpoint::new(recorder, "/effects");
+            self.client.send_json(Method::POST, &endpoint, &effect, RECORD_TIMEOUT).await?;
+        }
+        let mut state = self.lock();
+        state.effects.push(effect);
+        Ok(state.effects.len())
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, ApplicationState> {
         self.state.lock().expect("no holder of the lock panics")
     }
--- /dev/null
+++ b/standins/src/bin/standin-weight-store.rs
@@ -0,0 +1,41 @@
+//! The weight store as a program.
+
+use clap::{ArgMatches, Command};
+use fulmarhead_runtime::{
+    clock::SystemClock,
+    settings::{Reader, SettingErrors, flag},
+};
+use standins::{
+    program::{self, Program},
+    weight_store::{WeightSettings, WeightStore},
+};
+use std::process::ExitCode;
+
+fn command() -> Command {
+    program::command("standin-weight-store", "Stands in for the weight store")
+        .arg(flag("bytes", "STANDIN_BYTES", "Size of each set of weights").default_value("65536"))
+        .arg(flag("rate", "STANDIN_RATE", "Reads a second of all readers").default_value("4"))
+        .arg(flag("burst", "STANDIN_BURST", "Reads at once of all readers").default_value("4"))
+}
+
+fn read(matches: &ArgMatches) -> Result<(Program, WeightSettings), SettingErrors> {
+    let mut reader = Reader::new(matches);
+    let program = Program::read(&mut reader);
+    let bytes = reader.required("bytes");
+    let rate = reader.required("rate");
+    let burst = reader.required("burst");
+    reader.finish_with(|| {
+        Some((program?, WeightSettings { bytes: bytes?, rate: rate?, burst: burst? }))
+    })
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let (program, settings) = match program::parse(command(), read) {
+        Ok(parsed) => parsed,
+        Err(code) => return Ok(code),
+    };
+    let store = WeightStore::new(settings, SystemClock::shared());
+    let root = program.start("weight store", store.router()).await?;
+    program::run(root).await
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,3 +5,7 @@
 pub mod application;
 pub mod config_service;
 pub mod engine;
+pub mod program;
+mod rate;
+pub mod vm_list;
+pub mod weight_store;
--- /dev/null
+++ b/standins/src/weight_store.rs
@@ -0,0 +1,65 @@
+//! The weight store, whose rate limit all readers share.
+
+use crate::rate::RateLimit;
+use axum::{
+    Router,
+    extract::{Path, State},
+    http::{StatusCode, header::RETRY_AFTER},
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use fulmarhead_lib::{clock::SharedClock, ids::ModelId};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// Size of weights and rate of reads.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightSettings {
+    /// Size of each set of weights, in bytes.
+    pub bytes: usize,
+    /// Reads a second, over all readers.
+    pub rate: f64,
+    /// Reads at once, over all readers.
+    pub burst: f64,
+}
+
+/// The weight store.
+pub struct WeightStore {
+    settings: WeightSettings,
+    clock: SharedClock,
+    limit: Mutex<RateLimit>,
+}
+
+impl WeightStore {
+    /// Returns a store that has the weights of every model and version.
+    pub fn new(settings: WeightSettings, clock: SharedClock) -> Arc<Self> {
+        let limit = RateLimit::new(settings.rate, settings.burst, clock.now());
+        Arc::new(Self { settings, clock, limit: Mutex::new(limit) })
+    }
+
+    /// Returns the routes of the store.
+    pub fn router(self: &Arc<Self>) -> Router {
+        Router::new().route("/v1/weights/{model}/{version}", get(read)).with_state(Arc::clone(self))
+    }
+
+    fn take(&self) -> Result<(), Duration> {
+        let mut limit = self.limit.lock().expect("no holder of the lock panics");
+        limit.take(self.clock.now())
+    }
+}
+
+async fn read(
+    State(store): State<Arc<WeightStore>>,
+    Path((model, version)): Path<(ModelId, String)>,
+) -> Response {
+    if let Err(wait) = store.take() {
+        let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+        return (StatusCode::TOO_MANY_REQUESTS, [(RETRY_AFTER, seconds.to_string())])
+            .into_response();
+    }
+    let seed = format!("{model}/{version}\n").into_bytes();
+    let weights: Vec<u8> = seed.into_iter().cycle().take(store.settings.bytes).collect();
+    weights.into_response()
+}
