standins: give the engine batching, priorities, cache, streams and cold start

The engine ran one prefill after another, at a fixed time for each token, in a detached task, so it could not show what the agents' policies, resume and cold start caps are for. All state is now computed up to the present at each call, without a task of its own: prefill in chunks by priority, steps whose time grows with the batch, a prefix cache with least recently used eviction, cache events late and with gaps, streams that go on unread for a hold time (resume, cancel), restarts of a cold engine with too many requests, a load that lags, fencing numbers, and orders that take time and draw weights from the weight store (a supervised child). Each ability has a flag of standin-engine.

Tests with one mechanism off at a time, each of them passing with it on: off: priority better_priority_goes_first FAILED off: chunks better_priority_goes_first FAILED off: hold time stream_ends_after_hold_time FAILED off: cold start cold_engine_restarts_with_more, warm_engine_can_turn_cold FAILED off: fencing old_number_is_refused FAILED off: cache hits cached_prefix_skips_prefill and two more FAILED off: decode slope each_further_stream_adds_the_slope FAILED off: eviction for room cache_makes_way_for_leases FAILED all on: test result: ok. 30 passed; 0 failed (five runs)

--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -3,53 +3,127 @@
 use clap::{ArgMatches, Command};
 use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
 use standins::{
-    engine::{Engine, EngineSettings},
+    engine::{ColdSettings, Engine, EngineSettings, draw_weights},
     program::{self, Program},
 };
-use std::{process::ExitCode, time::Duration};
+use std::{num::NonZeroU64, process::ExitCode, sync::Arc, time::Duration};
+
+/// Flag, environment variable, default and help of each setting that has a default.
+const FLAGS: [(&str, &str, &str, &str); 20] = [
+    ("models", "STANDIN_MODELS", "assistant", "Models loaded at the start, with commas"),
+    ("model-version", "STANDIN_MODEL_VERSION", "1", "Version of these models"),
+    ("kv-total", "STANDIN_KV_TOTAL", "450000", "KV cache, in tokens"),
+    ("cache-total", "STANDIN_CACHE_TOTAL", "150000", "Most tokens of cached prefixes"),
+    ("prefill-rate", "STANDIN_PREFILL_RATE", "400000", "Prefill rate, in tokens a second"),
+    ("chunk", "STANDIN_CHUNK", "4096", "Tokens of a prompt prefilled before another may go first"),
+    ("decode-micros", "STANDIN_DECODE_MICROS", "5000", "Time for a token of one stream, in µs"),
+    ("slope-micros", "STANDIN_SLOPE_MICROS", "50", "Time added by each further stream, in µs"),
+    ("max-requests", "STANDIN_MAX_REQUESTS", "256", "Requests that a warm engine carries"),
+    ("hold-ms", "STANDIN_HOLD_MS", "2000", "How long a stream goes on unread, in ms"),
+    ("event-delay-ms", "STANDIN_EVENT_DELAY_MS", "200", "Time until a cache event shows, in ms"),
+    ("event-loss", "STANDIN_EVENT_LOSS", "0.01", "Share of lost cache events, from 0 to 1"),
+    ("load-lag-ms", "STANDIN_LOAD_LAG_MS", "100", "Age of the reported load, in ms"),
+    ("ignore-fencing", "STANDIN_IGNORE_FENCING", "false", "Whether old fencing numbers are obeyed"),
+    ("load-ms", "STANDIN_LOAD_MS", "1000", "Time to load a model or adapter, in ms"),
+    ("cold", "STANDIN_COLD", "false", "Whether the engine is cold at its start"),
+    ("cold-capacity", "STANDIN_COLD_CAPACITY", "8", "Requests that a cold engine carries"),
+    ("cold-growth", "STANDIN_COLD_GROWTH", "2", "Requests that each finished one adds to it"),
+    ("warm-after", "STANDIN_WARM_AFTER", "24", "Finished requests after which it is warm"),
+    ("restart-ms", "STANDIN_RESTART_MS", "500", "How long a restart takes, in ms"),
+];
 
 fn command() -> Command {
-    program::command("standin-engine", "Stands in for a model engine")
-        .arg(
-            flag("models", "STANDIN_MODELS", "Models loaded at the start, with commas")
-                .default_value("assistant"),
-        )
-        .arg(flag("kv-total", "STANDIN_KV_TOTAL", "KV cache, in tokens").default_value("450000"))
-        .arg(
-            flag("prefill-rate", "STANDIN_PREFILL_RATE", "Prefill rate, in tokens a second")
-                .default_value("400000"),
-        )
-        .arg(
-            flag("decode-micros", "STANDIN_DECODE_MICROS", "Time for a token of one stream, in µs")
-                .default_value("5000"),
-        )
+    let command = program::command("standin-engine", "Stands in for a model engine").arg(flag(
+        "weights",
+        "STANDIN_WEIGHTS",
+        "Address of the weight store",
+    ));
+    FLAGS.into_iter().fold(command, |command, (name, variable, default, help)| {
+        command.arg(flag(name, variable, help).default_value(default))
+    })
 }
 
 fn read(matches: &ArgMatches) -> Result<(Program, EngineSettings), SettingErrors> {
     let mut reader = Reader::new(matches);
     let program = Program::read(&mut reader);
+    let settings = read_engine(&mut reader);
+    reader.finish_with(|| Some((program?, settings?)))
+}
+
+fn read_engine(reader: &mut Reader<'_>) -> Option<EngineSettings> {
     let models = reader.list("models");
+    let version = reader.required("model-version");
     let kv_total = reader.required("kv-total");
-    let prefill_rate = reader.required("prefill-rate");
-    let decode_micros = reader.required("decode-micros");
-    reader.finish_with(|| {
-        let settings = EngineSettings {
-            models,
-            kv_total: kv_total?,
-            prefill_rate: prefill_rate?,
-            decode_time: Duration::from_micros(decode_micros?),
-        };
-        Some((program?, settings))
+    let cache_total = reader.required("cache-total");
+    let prefill_rate = reader.required::<NonZeroU64>("prefill-rate");
+    let chunk = reader.required::<NonZeroU64>("chunk");
+    let decode_time = micros(reader, "decode-micros");
+    let decode_slope = micros(reader, "slope-micros");
+    let max_requests = reader.required("max-requests");
+    let hold = millis(reader, "hold-ms");
+    let event_delay = millis(reader, "event-delay-ms");
+    let event_loss = reader.required("event-loss");
+    let load_lag = millis(reader, "load-lag-ms");
+    let ignore_fencing = reader.required("ignore-fencing");
+    let load_time = millis(reader, "load-ms");
+    let weight_store = reader.optional("weights");
+    let cold = read_cold(reader);
+    let restart_time = millis(reader, "restart-ms");
+    Some(EngineSettings {
+        models,
+        version: version?,
+        kv_total: kv_total?,
+        cache_total: cache_total?,
+        prefill_rate: prefill_rate?.get(),
+        chunk: chunk?.get(),
+        decode_time: decode_time?,
+        decode_slope: decode_slope?,
+        max_requests: max_requests?,
+        hold: hold?,
+        event_delay: event_delay?,
+        event_loss: event_loss?,
+        load_lag: load_lag?,
+        ignore_fencing: ignore_fencing?,
+        load_time: load_time?,
+        weight_store,
+        cold: cold?,
+        restart_time: restart_time?,
     })
 }
 
+fn read_cold(reader: &mut Reader<'_>) -> Option<ColdSettings> {
+    let at_start = reader.required("cold");
+    let capacity = reader.required("cold-capacity");
+    let growth = reader.required("cold-growth");
+    let warm_after = reader.required("warm-after");
+    Some(ColdSettings {
+        at_start: at_start?,
+        capacity: capacity?,
+        growth: growth?,
+        warm_after: warm_after?,
+    })
+}
+
+fn micros(reader: &mut Reader<'_>, flag: &'static str) -> Option<Duration> {
+    reader.required(flag).map(Duration::from_micros)
+}
+
+fn millis(reader: &mut Reader<'_>, flag: &'static str) -> Option<Duration> {
+    reader.required(flag).map(Duration::from_millis)
+}
+
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
     let (program, settings) = match program::parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
+    let weight_store = settings.weight_store;
     let engine = Engine::new(settings);
-    let root = program.start("engine", engine.router()).await?;
+    let mut root = program.start("engine", engine.router()).await?;
+    if let Some(address) = weight_store {
+        root =
+            root.permanent("weights", move |stop| draw_weights(Arc::clone(&engine), address, stop));
+    }
     program::run(root).await
 }
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -1,10 +1,29 @@
 //! A model engine.
 
+mod admit;
+mod batch;
+mod cache;
+mod core;
+
+mod error;
+mod events;
+mod figures;
 mod http;
-mod state;
+mod memory;
+mod models;
+mod settings;
+mod shared;
+mod stream;
 mod text;
+mod warmth;
+mod weights;
 
 pub use self::{
-    state::{Engine, EngineSettings},
+    cache::BLOCK,
+    error::EngineError,
+    events::{CacheEvent, CacheEvents, EventKind},
+    settings::{ColdSettings, EngineSettings},
+    shared::Engine,
     text::{prompt_state, token},
+    weights::draw_weights,
 };
--- a/standins/src/engine/text.rs
+++ b/standins/src/engine/text.rs
@@ -1,8 +1,12 @@
 //! Text that an engine generates: a function of the whole prompt and the position, so that tests
 //! can check that an answer belongs to its prompt.
 
+use super::cache::prefix_states;
 use fnv::FnvHasher;
-use fulmarhead_lib::ids::Position;
+use fulmarhead_lib::{
+    cost::{BYTES_PER_TOKEN, Cost},
+    ids::{Position, Tokens},
+};
 use std::hash::Hasher;
 
 const WORDS: [&str; 16] = [
@@ -14,8 +18,13 @@
 ///
 /// The state of a prompt does not depend on how it was cut into segments.
 pub fn prompt_state(previous: Option<u64>, segment: &str) -> u64 {
+    hash(previous, segment.as_bytes())
+}
+
+/// Continues the FNV-1a hash `previous` over `bytes`.
+pub(super) fn hash(previous: Option<u64>, bytes: &[u8]) -> u64 {
     let mut hasher = previous.map_or_else(FnvHasher::default, FnvHasher::with_key);
-    hasher.write(segment.as_bytes());
+    hasher.write(bytes);
     hasher.finish()
 }
 
@@ -26,3 +35,41 @@
     let hash = hasher.finish();
     format!("{}{} ", WORDS[(hash % 16) as usize], hash / 16 % 100)
 }
+
+/// What the engine has to know of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Prompt {
+    /// Length.
+    pub(super) tokens: Tokens,
+    /// State after the prompt.
+    pub(super) state: u64,
+    /// States at the ends of the blocks that can be cached.
+    pub(super) blocks: Vec<u64>,
+}
+
+impl Prompt {
+    /// Reads a prompt; one that continues other segments has no blocks of its own.
+    pub(super) fn read(text: &str, previous: Option<&str>) -> Self {
+        let tokens = Cost::estimate(text.len(), 0).prompt;
+        let previous = previous.and_then(parse_state);
+        if previous.is_some() {
+            return Self { tokens, state: prompt_state(previous, text), blocks: Vec::new() };
+        }
+        let (blocks, rest) = prefix_states(text.as_bytes());
+        Self { tokens, state: hash(blocks.last().copied(), rest), blocks }
+    }
+}
+
+/// Formats a state for messages.
+pub(super) fn format_state(state: u64) -> String {
+    format!("{state:016x}")
+}
+
+fn parse_state(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// Bytes of text in `tokens` tokens.
+pub(super) fn bytes_of(tokens: Tokens) -> usize {
+    usize::try_from(tokens * BYTES_PER_TOKEN).unwrap_or(usize::MAX)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! The interfaces are those of `docs/design/platform-protocols.md`.
 
 pub mod application;
+mod broken;
 pub mod config_service;
 pub mod engine;
 pub mod program;
--- /dev/null
+++ b/standins/tests/engine/main.rs
@@ -0,0 +1,8 @@
+//! Behaviour of the model engine, on tokio's paused time.
+
+mod batching;
+mod calls;
+mod cold;
+mod memory;
+mod orders;
+mod streams;
