standins: let the application worker fail, queue and start cold

A worker answered every call, had no limit, and dropped a call with its connection, so a test could not show a lost answer. Calls now run as tracked tasks that outlive their connections; calls over the capacity wait; POST /debug/faults breaks calls before or after their effect or slows them; a cold worker with more calls than it can carry restarts (ColdSettings is shared with the engine).

--- a/standins/src/application/http.rs
+++ b/standins/src/application/http.rs
@@ -1,33 +1,38 @@
 //! HTTP interface of an application worker.
 
-use super::state::{Application, Effect};
+use super::{
+    call::{self, Call},
+    state::{Application, ApplicationFaults, Effect},
+};
 use axum::{
     Json, Router,
     extract::State,
     http::{HeaderMap, Method, StatusCode, Uri},
-    response::{IntoResponse, Response},
-    routing::get,
+    response::Response,
+    routing::{get, post},
 };
 use serde_json::{Value, json};
 use std::sync::Arc;
-use tokio::time::sleep;
 
 impl Application {
-    /// Returns the routes of the worker.
+    /// Returns the routes of the worker; those under `/debug` and `/effects` are for tests.
     pub fn router(self: &Arc<Self>) -> Router {
         Router::new()
             .route("/load", get(load))
             .route("/effects", get(effects).post(record))
-            .fallback(call)
+            .route("/debug/faults", post(set_faults))
+            .route("/debug/cold", post(turn_cold))
+            .route("/debug/restart", post(restart))
+            .fallback(answer)
             .with_state(Arc::clone(self))
     }
 }
 
 async fn load(State(application): State<Arc<Application>>) -> Json<Value> {
-    let running = application.lock().running;
+    let state = application.lock();
     Json(json!({
-        "restarts": 0,
-        "running": running,
+        "restarts": state.restarts,
+        "running": state.running,
         "capacity": application.settings.capacity,
     }))
 }
@@ -47,26 +52,33 @@
     }
 }
 
-/// Answers a call; any method but GET has an effect.
-async fn call(
+async fn set_faults(
+    State(application): State<Arc<Application>>,
+    Json(faults): Json<ApplicationFaults>,
+) -> StatusCode {
+    application.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+async fn turn_cold(State(application): State<Arc<Application>>) -> StatusCode {
+    application.turn_cold();
+    StatusCode::NO_CONTENT
+}
+
+async fn restart(State(application): State<Arc<Application>>) -> StatusCode {
+    application.restart();
+    StatusCode::NO_CONTENT
+}
+
+/// Answers any other call.
+async fn answer(
     State(application): State<Arc<Application>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: String,
 ) -> Response {
-    sleep(application.settings.service_time).await;
-    if method == Method::GET {
-        return Json(json!({ "path": uri.path(), "stock": 7 })).into_response();
-    }
     let key = headers.get("idempotency-key").and_then(|value| value.to_str().ok());
-    let effect = Effect {
-        key: key.unwrap_or_default().to_owned(),
-        call: format!("{method} {}", uri.path()),
-        body,
-    };
-    match application.record(effect).await {
-        Ok(number) => (StatusCode::CREATED, Json(json!({ "order": number }))).into_response(),
-        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-    }
+    let key = key.unwrap_or_default().to_owned();
+    call::run(application, Call { method, path: uri.path().to_owned(), key, body }).await
 }
--- a/standins/src/application/mod.rs
+++ b/standins/src/application/mod.rs
@@ -1,6 +1,7 @@
 //! An application worker that records each effect.
 
+mod call;
 mod http;
 mod state;
 
-pub use self::state::{Application, ApplicationSettings, Effect};
+pub use self::state::{Application, ApplicationFaults, ApplicationSettings, Effect};
--- a/standins/src/bin/standin-application.rs
+++ b/standins/src/bin/standin-application.rs
@@ -4,6 +4,7 @@
 use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
 use standins::{
     application::{Application, ApplicationSettings},
+    cold::ColdSettings,
     program::{self, Program},
 };
 use std::{process::ExitCode, time::Duration};
@@ -20,6 +21,14 @@
                 .default_value("10000"),
         )
         .arg(flag("capacity", "STANDIN_CAPACITY", "Calls at once").default_value("64"))
+        .arg(
+            flag("cold", "STANDIN_COLD", "Whether the worker is cold at its start")
+                .default_value("false"),
+        )
+        .arg(
+            flag("cold-capacity", "STANDIN_COLD_CAPACITY", "Calls that a cold worker carries")
+                .default_value("8"),
+        )
 }
 
 fn read(matches: &ArgMatches) -> Result<(Program, ApplicationSettings), SettingErrors> {
@@ -28,11 +37,19 @@
     let recorder = reader.optional("effects");
     let service_micros = reader.required("service-micros");
     let capacity = reader.required("capacity");
+    let at_start = reader.required("cold");
+    let cold_capacity = reader.required("cold-capacity");
     reader.finish_with(|| {
+        let cold = ColdSettings {
+            at_start: at_start?,
+            capacity: cold_capacity?,
+            ..ColdSettings::default()
+        };
         let settings = ApplicationSettings {
             service_time: Duration::from_micros(service_micros?),
             capacity: capacity?,
             recorder,
+            cold,
         };
         Some((program?, settings))
     })
@@ -46,5 +63,7 @@
     };
     let application = Application::new(settings);
     let root = program.start("application", application.router()).await?;
-    program::run(root).await
+    let code = program::run(root).await?;
+    application.finish().await;
+    Ok(code)
 }
--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -3,7 +3,8 @@
 use clap::{ArgMatches, Command};
 use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
 use standins::{
-    engine::{ColdSettings, Engine, EngineSettings, draw_weights},
+    cold::ColdSettings,
+    engine::{Engine, EngineSettings, draw_weights},
     program::{self, Program},
 };
 use std::{num::NonZeroU64, process::ExitCode, sync::Arc, time::Duration};
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -13,8 +13,8 @@
     models::Models,
     settings::EngineSettings,
     stream::Work,
-    warmth::Warmth,
 };
+use crate::cold::Warmth;
 use fulmarhead_lib::ids::{LeaseId, RequestId};
 use fulmarhead_runtime::platform::engine::EngineLoad;
 use std::time::Instant;
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -15,14 +15,13 @@
 mod shared;
 mod stream;
 mod text;
-mod warmth;
 mod weights;
 
 pub use self::{
     cache::BLOCK,
     error::EngineError,
     events::{CacheEvent, CacheEvents, EventKind},
-    settings::{ColdSettings, EngineSettings},
+    settings::EngineSettings,
     shared::Engine,
     text::{prompt_state, token},
     weights::draw_weights,
--- a/standins/src/engine/settings.rs
+++ b/standins/src/engine/settings.rs
@@ -1,5 +1,6 @@
 //! Abilities, slopes and faults of an engine.
 
+use crate::cold::ColdSettings;
 use fulmarhead_lib::ids::{ModelId, Tokens};
 use std::{net::SocketAddr, time::Duration};
 
@@ -44,25 +45,6 @@
     pub restart_time: Duration,
 }
 
-/// Cold start of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ColdSettings {
-    /// Whether the engine is cold at its start; it is always cold after a restart.
-    pub at_start: bool,
-    /// Requests that a cold engine carries; one more makes it restart.
-    pub capacity: u64,
-    /// Requests that each finished request adds to the capacity.
-    pub growth: u64,
-    /// Finished requests after which the engine is warm.
-    pub warm_after: u64,
-}
-
-impl Default for ColdSettings {
-    fn default() -> Self {
-        Self { at_start: false, capacity: 8, growth: 2, warm_after: 24 }
-    }
-}
-
 impl Default for EngineSettings {
     fn default() -> Self {
         Self {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod application;
 mod broken;
+pub mod cold;
 pub mod config_service;
 pub mod engine;
 pub mod program;
--- a/standins/tests/engine/calls.rs
+++ b/standins/tests/engine/calls.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 use standins::engine::{Engine, EngineSettings};
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant, SystemTime},
 };
@@ -77,6 +78,7 @@
         position: 0,
         lease: None,
         previous: None,
+        sampling: BTreeMap::new(),
     }
 }
 
--- a/standins/tests/engine/cold.rs
+++ b/standins/tests/engine/cold.rs
@@ -4,7 +4,7 @@
 use axum::http::{Method, StatusCode};
 use futures::future::join_all;
 use serde_json::Value;
-use standins::engine::{ColdSettings, EngineSettings};
+use standins::{cold::ColdSettings, engine::EngineSettings};
 use std::time::Duration;
 use testutils::cases;
 use tokio::time::sleep;
