keys: close a second run, false "not run" answers and empty replays

Faults found by reading: - `begin` took the time that its caller had read before it got the lock. A caller that was held up could bring a time before that at which its key was forgotten; the key looked new and ran a second time. - An answer over 64 KiB was kept without its body, and both the first caller and each repetition got an empty body with the application's status. - The ledger was bounded in keys but not in bytes (100,000 answers of 64 KiB). - A call that ran longer than the retention was forgotten, so that its own caller got "key expired" in place of the answer. - Agent and entry answered calls with a key as "not run" before the owner's ledger was asked (no configuration after a restart of the agent, unknown route, bad token, body too large), although an earlier call may have run.

The ledger now keeps the latest time that it was given, keeps bodies up to 16 MiB in all (those of the oldest keys go first), refuses with the new reason `answer_not_kept` in place of an empty body, and forgets settled keys only. `Refusal::without_ledger` turns "not run" into "unknown" at the call sites that have not asked the ledger. `KeySettings::max_answer` becomes `max_answers`.

--- a/agent/src/work/applications.rs
+++ b/agent/src/work/applications.rs
@@ -11,7 +11,7 @@
 use fulmarhead_lib::{
     digest::sha256_hex,
     ids::ApplicationId,
-    keys::{Answer, Begin, Claim, IdempotencyKey, KeyState, Recorded},
+    keys::{Answer, Begin, Claim, IdempotencyKey, Recorded},
     outcome::{Reason, Refusal},
     request::Deadline,
 };
@@ -45,10 +45,12 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Result<Response, Refused> {
-    let work = WorkHeaders::from_headers(&headers)?;
-    let repeatable = is_repeatable(&agent, &application, &method, &path)?;
-    let deadline = Deadline::after(agent.clock.now(), work.remaining);
     let key = read_key(&headers)?;
+    // The ledger was not asked yet, and an earlier call with the key may have run.
+    let unasked = |refusal: Refusal| if key.is_some() { refusal.without_ledger() } else { refusal };
+    let work = WorkHeaders::from_headers(&headers).map_err(|e| unasked(Refused::from(e).0))?;
+    let repeatable = is_repeatable(&agent, &application, &method, &path).map_err(unasked)?;
+    let deadline = Deadline::after(agent.clock.now(), work.remaining);
     let query = uri.query().map_or(String::new(), |query| format!("?{query}"));
     let endpoint = Endpoint::new(agent.settings.target_address, format!("/{path}{query}"));
     let headers = forwarded(&headers);
@@ -166,13 +168,9 @@
     let mut settled = agent.settled.subscribe();
     let answered = async {
         loop {
-            let state = agent.core().keys.state(key.id).cloned();
-            match state {
-                Some(KeyState::Answered(answer)) => return Ok(respond(answer)),
-                Some(KeyState::Lost) => return Err(Refusal::unknown(Reason::TargetFailed)),
-                Some(KeyState::Tombstone(reason)) => return Err(Refusal::not_run(reason)),
-                None => return Err(Refusal::unknown(Reason::KeyExpired)),
-                Some(KeyState::Recorded | KeyState::Dispatched) => {}
+            let result = agent.core().keys.result(key.id);
+            if let Some(result) = result {
+                return result.map(respond);
             }
             if settled.changed().await.is_err() {
                 return Err(Refusal::unknown(Reason::ShuttingDown));
--- a/entry/src/callers/applications.rs
+++ b/entry/src/callers/applications.rs
@@ -16,7 +16,7 @@
     ids::{ApplicationId, RequestId},
     keys::IdempotencyKey,
     outcome::{Reason, Refusal},
-    request::{Cursor, Request},
+    request::{Admitted, Cursor, Request},
 };
 use fulmarhead_runtime::work::IDEMPOTENCY_KEY;
 use std::sync::Arc;
@@ -53,9 +53,25 @@
     headers: &HeaderMap,
     body: Body,
 ) -> Result<Response, Refusal> {
+    let key = read_key(headers)?;
+    let keyed = key.is_some();
+    let prepared = prepare(entry, id, target, headers, key, body).await;
+    // The owner was not asked yet, and an earlier call with the key may have run.
+    let (request, call) =
+        prepared.map_err(|refusal| if keyed { refusal.without_ledger() } else { refusal })?;
+    call_application(entry, request, call).await
+}
+
+async fn prepare(
+    entry: &Arc<Entry>,
+    id: RequestId,
+    target: Target,
+    headers: &HeaderMap,
+    key: Option<IdempotencyKey>,
+    body: Body,
+) -> Result<(Request<Admitted>, ApplicationCall), Refusal> {
     let caller = Caller::identify(entry, headers)?;
     let repeatable = check(&caller, &target)?;
-    let key = read_key(headers)?;
     if key.is_none() && !repeatable {
         return Err(Refusal::not_run(Reason::KeyRequired));
     }
@@ -73,7 +89,7 @@
         priority: caller.team.priority,
         fleet: caller.fleet,
     };
-    call_application(entry, request, call).await
+    Ok((request, call))
 }
 
 fn check(caller: &Caller, target: &Target) -> Result<bool, Refusal> {
--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -79,6 +79,7 @@
         let refusal = match sent {
             Ok(response) => return Ok(response),
             Err(Lost::Refused(refusal)) => return Err(refusal),
+            Err(Lost::Unsent(refusal)) => return Err(refusal.without_ledger()),
             Err(Lost::Connection) => unreachable,
         };
         let wait = pace.next_round();
@@ -108,7 +109,7 @@
         request.dispatch();
         let refusal = match send(entry, request, call, &target).await {
             Ok(response) => return Ok(response),
-            Err(Lost::Refused(refusal)) => refusal,
+            Err(Lost::Refused(refusal) | Lost::Unsent(refusal)) => refusal,
             Err(Lost::Connection) => Refusal::failed(Reason::TargetFailed),
         };
         if refusal.outcome == Outcome::NotRun {
@@ -142,6 +143,8 @@
 enum Lost {
     /// The agent refused it.
     Refused(Refusal),
+    /// The entry could not send it.
+    Unsent(Refusal),
     /// The agent could not be reached or the connection was lost.
     Connection,
 }
@@ -152,8 +155,8 @@
     call: &ApplicationCall,
     target: &str,
 ) -> Result<Response, Lost> {
-    let refused = |reason| Lost::Refused(Refusal::not_run(reason));
-    let fleet = entry.fleet().map_err(Lost::Refused)?;
+    let unsent = |reason| Lost::Unsent(Refusal::not_run(reason));
+    let fleet = entry.fleet().map_err(Lost::Unsent)?;
     let address = fleet.target(target).map(|target| target.work);
     let address = address.ok_or(Lost::Connection)?;
     let _tally = Tally::new(entry, target, Cost::default());
@@ -170,13 +173,13 @@
         hold: false,
         resume: None,
     };
-    let mut headers = work.to_headers().map_err(|_| refused(Reason::MalformedRequest))?;
+    let mut headers = work.to_headers().map_err(|_| unsent(Reason::MalformedRequest))?;
     if let Some(content_type) = &call.content_type {
         headers.insert(CONTENT_TYPE, content_type.clone());
     }
     if let Some(key) = &call.key {
         let value = HeaderValue::from_str(&key.to_string());
-        headers.insert(IDEMPOTENCY_KEY, value.map_err(|_| refused(Reason::KeyNotIssued))?);
+        headers.insert(IDEMPOTENCY_KEY, value.map_err(|_| unsent(Reason::KeyNotIssued))?);
     }
     info!(
         target: "decision", request:% = request.id, attempt = attempt.number, target_id = target;
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -18,7 +18,7 @@
 pub type SharedClock = Arc<dyn Clock>;
 
 /// Wall-clock time that never steps: the wall clock at creation plus monotonic time since then.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SteadyWall {
     start: Instant,
     wall: SystemTime,
--- a/lib/src/keys/ledger.rs
+++ b/lib/src/keys/ledger.rs
@@ -1,22 +1,23 @@
 //! The ledger of one agent: which keys have run, run now, or will never run.
 
-use super::key::{IdempotencyKey, issue_time};
+use super::{
+    answers::{Answer, Bodies},
+    key::{IdempotencyKey, issue_time},
+};
 use crate::{
     clock::SteadyWall,
     ids::{Incarnation, TargetId},
     outcome::{Reason, Refusal},
 };
-use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     marker::PhantomData,
-    sync::Arc,
     time::{Duration, Instant},
 };
 use uuid::Uuid;
 
 /// Bounds of a ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct KeySettings {
     /// How long after its issue a key is known.
     pub retention: Duration,
@@ -24,8 +25,11 @@
     pub clock_error: Duration,
     /// Most keys that the ledger holds.
     pub capacity: usize,
-    /// Largest answer that the ledger keeps, in bytes.
-    pub max_answer: usize,
+    /// Most bytes of answers that the ledger keeps; the answers to the oldest keys go first.
+    ///
+    /// It must be at least the largest answer that an agent accepts, or the call's own caller
+    /// would not get it.
+    pub max_answers: usize,
 }
 
 impl Default for KeySettings {
@@ -34,24 +38,13 @@
             retention: Duration::from_secs(600),
             clock_error: Duration::from_secs(2),
             capacity: 100_000,
-            max_answer: 64 << 10,
+            max_answers: 16 << 20,
         }
     }
 }
 
-/// The answer of an application to a call that ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Media type of the body.
-    pub media_type: String,
-    /// Body; `None` if it was over the size that the ledger keeps.
-    pub body: Option<Arc<[u8]>>,
-}
-
 /// What the ledger holds of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum KeyState {
     /// A claim was given out and the call was not sent yet.
     Recorded,
@@ -65,12 +58,33 @@
     Tombstone(Reason),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Record {
     fingerprint: String,
     state: KeyState,
 }
 
+impl KeyState {
+    /// Returns whether the call has ended or will never start.
+    pub fn is_settled(&self) -> bool {
+        !matches!(self, Self::Recorded | Self::Dispatched)
+    }
+
+    /// Returns what to tell a caller; `None` while the call runs.
+    fn result(&self) -> Option<Result<Answer, Refusal>> {
+        match self {
+            Self::Recorded | Self::Dispatched => None,
+            // An answer without its body would pass for a complete one.
+            Self::Answered(Answer { body: None, .. }) => {
+                Some(Err(Refusal::unknown(Reason::AnswerNotKept)))
+            }
+            Self::Answered(answer) => Some(Ok(answer.clone())),
+            Self::Lost => Some(Err(Refusal::unknown(Reason::TargetFailed))),
+            Self::Tombstone(reason) => Some(Err(Refusal::not_run(*reason))),
+        }
+    }
+}
+
 /// Life cycle of a claim: the key is recorded and the call was not sent.
 #[derive(Debug)]
 pub struct Recorded;
@@ -101,13 +115,16 @@
 }
 
 /// Keys of one life of one agent.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct KeyLedger {
     target: TargetId,
     incarnation: Incarnation,
     settings: KeySettings,
     wall: SteadyWall,
     records: BTreeMap<Uuid, Record>,
+    bodies: Bodies,
+    /// Latest time that the ledger was given.
+    latest: Option<Instant>,
 }
 
 impl KeyLedger {
@@ -118,7 +135,8 @@
         settings: KeySettings,
         wall: SteadyWall,
     ) -> Self {
-        Self { target, incarnation, settings, wall, records: BTreeMap::new() }
+        let (records, bodies) = (BTreeMap::new(), Bodies::default());
+        Self { target, incarnation, settings, wall, records, bodies, latest: None }
     }
 
     /// Decides what to do with a call; `fingerprint` is a digest of its method, path and body.
@@ -138,25 +156,35 @@
         if key.incarnation != self.incarnation {
             return Begin::Refuse(Refusal::unknown(Reason::KeyOwnerGone));
         }
+        let now = self.advance(now);
         self.forget_expired(now);
-        if self.is_expired(key.id, now) {
-            return Begin::Refuse(Refusal::unknown(Reason::KeyExpired));
-        }
         match self.records.get(&key.id) {
             Some(record) => Self::repeat(record, fingerprint),
+            None if self.is_expired(key.id, now) => {
+                Begin::Refuse(Refusal::unknown(Reason::KeyExpired))
+            }
             None => self.first(key, fingerprint, open, now),
         }
     }
 
+    /// Returns `now`, or the latest time that the ledger was given if that is later.
+    ///
+    /// A caller reads the clock before it gets the lock, so that times may arrive out of order.
+    /// A key that was forgotten at a later time would look new at an earlier one and run again.
+    fn advance(&mut self, now: Instant) -> Instant {
+        let latest = self.latest.map_or(now, |latest| latest.max(now));
+        self.latest = Some(latest);
+        latest
+    }
+
     fn repeat(record: &Record, fingerprint: &str) -> Begin {
         if record.fingerprint != fingerprint {
             return Begin::Refuse(Refusal::unknown(Reason::KeyReused));
         }
-        match &record.state {
-            KeyState::Recorded | KeyState::Dispatched => Begin::Wait,
-            KeyState::Answered(answer) => Begin::Replay(answer.clone()),
-            KeyState::Lost => Begin::Refuse(Refusal::unknown(Reason::TargetFailed)),
-            KeyState::Tombstone(reason) => Begin::Refuse(Refusal::not_run(*reason)),
+        match record.state.result() {
+            None => Begin::Wait,
+            Some(Ok(answer)) => Begin::Replay(answer),
+            Some(Err(refusal)) => Begin::Refuse(refusal),
         }
     }
 
@@ -202,9 +230,12 @@
     }
 
     /// Records the answer of a call.
-    pub fn answer(&mut self, claim: Claim<Dispatched>, mut answer: Answer) {
-        if answer.body.as_ref().is_some_and(|body| body.len() > self.settings.max_answer) {
-            answer.body = None;
+    pub fn answer(&mut self, claim: Claim<Dispatched>, answer: Answer) {
+        let size = answer.body.as_ref().map_or(0, |body| body.len());
+        if self.records.contains_key(&claim.key) {
+            for key in self.bodies.insert(claim.key, size, self.settings.max_answers) {
+                self.drop_body(key);
+            }
         }
         self.set(claim.key, KeyState::Answered(answer));
     }
@@ -220,6 +251,19 @@
         self.records.get(&key).map(|record| &record.state)
     }
 
+    /// Returns what to tell a caller that waits for a key; `None` while the call runs.
+    pub fn result(&self, key: Uuid) -> Option<Result<Answer, Refusal>> {
+        match self.records.get(&key) {
+            Some(record) => record.state.result(),
+            None => Some(Err(Refusal::unknown(Reason::KeyExpired))),
+        }
+    }
+
+    /// Returns how many bytes of answers the ledger keeps.
+    pub fn kept_bytes(&self) -> usize {
+        self.bodies.total()
+    }
+
     /// Returns how many keys the ledger holds.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -240,12 +284,26 @@
         issue_time(key) + self.settings.retention <= self.wall.at(now)
     }
 
+    /// Forgets the keys that are too old to be used again.
+    ///
+    /// A key whose call still runs stays, so that its callers get the answer.
     fn forget_expired(&mut self, now: Instant) {
-        while let Some((&key, _)) = self.records.first_key_value() {
-            if !self.is_expired(key, now) {
-                return;
-            }
+        let expired: Vec<Uuid> = self
+            .records
+            .iter()
+            .take_while(|&(&key, _)| self.is_expired(key, now))
+            .filter(|(_, record)| record.state.is_settled())
+            .map(|(&key, _)| key)
+            .collect();
+        for key in expired {
             self.records.remove(&key);
+            self.bodies.remove(key);
+        }
+    }
+
+    fn drop_body(&mut self, key: Uuid) {
+        if let Some(Record { state: KeyState::Answered(answer), .. }) = self.records.get_mut(&key) {
+            answer.body = None;
         }
     }
 }
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -6,7 +6,18 @@
 
 /// What is known of a request that got no answer.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display, EnumString,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
@@ -28,6 +39,7 @@
     Eq,
     PartialOrd,
     Ord,
+    Hash,
     Serialize,
     Deserialize,
     Display,
@@ -72,6 +84,8 @@
     KeyOwnerUnreachable,
     /// The request with this key runs at the moment.
     KeyInProgress,
+    /// The request with this key has run and its answer is not kept any more.
+    AnswerNotKept,
     /// The agent can't record another key.
     LedgerFull,
     /// The team has used up its budget.
@@ -116,7 +130,7 @@
             Self::UnknownModel | Self::UnknownApplication => 404,
             Self::BodyTimeout => 408,
             Self::KeyInProgress => 409,
-            Self::KeyExpired => 410,
+            Self::KeyExpired | Self::AnswerNotKept => 410,
             Self::BodyTooLarge | Self::PromptTooLong => 413,
             Self::WrongTarget => 421,
             Self::KeyReused => 422,
@@ -181,6 +195,17 @@
         Self { reason, outcome: Outcome::Failed, retry_after: None }
     }
 
+    /// Returns the refusal of a call with an idempotency key by a process that has not asked the
+    /// key's ledger.
+    ///
+    /// An earlier call with the key may have run, whatever kept this one from being sent.
+    pub fn without_ledger(self) -> Self {
+        match self.outcome {
+            Outcome::NotRun => Self { outcome: Outcome::Unknown, ..self },
+            Outcome::Unknown | Outcome::Failed => self,
+        }
+    }
+
     /// Adds the time after which another try may succeed.
     pub fn after(self, wait: Duration) -> Self {
         Self { retry_after: Some(wait), ..self }
