lease: keep memory for waiting reservations, and level the plan

Cause: a reservation that was refused for lack of memory left no trace, so that short requests and later reservations took each bit of memory that became free; with too little free memory in the reports, the entry did not even ask. A request for a lease that arrived after its release took memory for a holder that had given it up, for one period. `plan` filled the first engines to the last token. Shares under the entry's margin of 8 tokens would have underflowed.

- The ledger remembers a refused request for 2 s.
Requests are ordered by identifier, which is the same order at each engine, so that two reservations can't each be first at one engine.
Work without a lease leaves the first waiting request its memory, unless another lease stands in its way.
- Leases that have ended are remembered for one period: a late request for one is refused, and a rebuild does not take over its allocation.
- `plan` takes the fewest engines and leaves them equal free memory, with a smallest share that holds the answer and the end of the prompt.
While memory is short it plans by the size of the empty engines, so that they are asked.
- A reservation sorts its shares and ignores the grant of another lease.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -237,9 +237,9 @@
 }
 
 impl Core {
-    /// Returns the memory that no lease holds; unlimited for applications.
-    pub(crate) fn unleased(&self) -> Tokens {
-        if self.load.kv_total == 0 { Tokens::MAX } else { self.leases.free() }
+    /// Returns the memory for work without a lease; unlimited for applications.
+    pub(crate) fn unleased(&self, now: Instant) -> Tokens {
+        if self.load.kv_total == 0 { Tokens::MAX } else { self.leases.open(now) }
     }
 
     fn phase(&self, target: &str, now: Instant) -> Phase {
--- a/agent/src/control/mod.rs
+++ b/agent/src/control/mod.rs
@@ -47,7 +47,7 @@
     }
 
     fn release(&self, lease: LeaseId) -> bool {
-        let known = self.core().leases.release(lease);
+        let known = self.core().leases.release(lease, self.clock.now());
         self.clean_up(Cleanup::Lease(lease));
         known
     }
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -59,7 +59,7 @@
 pub(super) fn admit(agent: &Arc<Agent>, work: &WorkHeaders) -> Result<Permit, Refusal> {
     let now = agent.clock.now();
     let mut core = agent.current();
-    let unleased = core.unleased();
+    let unleased = core.unleased(now);
     let (cost, unleased) = match work.lease {
         Some(lease) if core.leases.tokens(lease, now).is_none() => {
             return Err(Refusal::not_run(Reason::LeaseExpired));
--- a/entry/src/dispatch/large.rs
+++ b/entry/src/dispatch/large.rs
@@ -30,6 +30,9 @@
 /// Tokens added to each share, since a cut at a character may move a few bytes.
 const SHARE_MARGIN: u64 = 8;
 
+/// Fewest tokens of a prompt that are worth an engine of their own.
+const SMALLEST_SEGMENT: u64 = 1_024;
+
 /// Held leases, released when they are dropped.
 pub(super) struct Leases {
     entry: Arc<Entry>,
@@ -111,9 +114,10 @@
         })
         .collect();
     let margin = SHARE_MARGIN * rooms.len() as u64;
-    plan(&rooms, request.cost.kv() + margin).map_err(|error| match error {
+    // The last engine holds the answer and the end of the prompt.
+    let smallest = request.cost.output + SMALLEST_SEGMENT;
+    plan(&rooms, request.cost.kv() + margin, smallest).map_err(|error| match error {
         PlanError::TooLarge { .. } => Refusal::not_run(Reason::PromptTooLong),
-        PlanError::NoRoom { .. } => Refusal::not_run(Reason::NoMemory),
     })
 }
 
--- a/lib/src/lease/ledger.rs
+++ b/lib/src/lease/ledger.rs
@@ -1,5 +1,6 @@
 //! The ledger of leases on one engine's memory.
 
+use super::waiting::Waiting;
 use crate::{
     ids::{LeaseId, RequestId, Tokens},
     outcome::{Reason, Refusal},
@@ -11,22 +12,31 @@
 };
 
 /// Times of leases.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseSettings {
     /// How long a lease lasts unless it is renewed.
     pub period: Duration,
     /// Time after which a refused holder may ask again.
     pub retry_after: Duration,
+    /// How long memory is kept for a request that asked for it and was refused.
+    ///
+    /// It is over the longest wait of an entry between two rounds of attempts, 500 ms, by enough
+    /// for the calls to the other engines of a reservation.
+    pub patience: Duration,
 }
 
 impl Default for LeaseSettings {
     fn default() -> Self {
-        Self { period: Duration::from_secs(10), retry_after: Duration::from_millis(250) }
+        Self {
+            period: Duration::from_secs(10),
+            retry_after: Duration::from_millis(250),
+            patience: Duration::from_secs(2),
+        }
     }
 }
 
 /// A lease as its holder knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Identifier of the lease.
     pub lease: LeaseId,
@@ -45,7 +55,7 @@
     pub tokens: Tokens,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     request: Option<RequestId>,
     tokens: Tokens,
@@ -53,17 +63,21 @@
 }
 
 /// Leases on the memory of one engine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseLedger {
     settings: LeaseSettings,
     total: Tokens,
     leases: BTreeMap<LeaseId, Lease>,
+    /// Leases that have ended, until no message about them can be under way any more.
+    ended: BTreeMap<LeaseId, Instant>,
+    waiting: Waiting,
 }
 
 impl LeaseLedger {
     /// Returns the empty ledger of an engine with `total` tokens of KV cache.
     pub fn new(settings: LeaseSettings, total: Tokens) -> Self {
-        Self { settings, total, leases: BTreeMap::new() }
+        let (leases, ended) = (BTreeMap::new(), BTreeMap::new());
+        Self { settings, total, leases, ended, waiting: Waiting::default() }
     }
 
     /// Sets the memory that the engine has.
@@ -73,9 +87,13 @@
 
     /// Takes over the allocations that an engine reports after the agent restarted.
     ///
-    /// Each is kept for one period, in which its holder may renew it.
+    /// Each is kept for one period, in which its holder may renew it. A lease that has ended is
+    /// not taken over: the engine has yet to free its memory.
     pub fn rebuild(&mut self, allocations: &[Allocation], now: Instant) {
         for allocation in allocations {
+            if self.ended.contains_key(&allocation.lease) {
+                continue;
+            }
             let lease = Lease {
                 request: None,
                 tokens: allocation.tokens,
@@ -87,7 +105,10 @@
 
     /// Reserves `tokens` for `request` under the identifier `lease`.
     ///
-    /// `in_use` is the memory that work without a lease may use. A holder that asks again for the same request and lease gets the same grant.
+    /// `in_use` is the memory that work without a lease may use. A holder that asks again for the
+    /// same request and lease gets the same grant. A request that is refused for lack of memory is
+    /// remembered for the patience of the settings, and requests after it in the order of their
+    /// identifiers do not get the memory that it waits for.
     pub fn reserve(
         &mut self,
         request: RequestId,
@@ -100,17 +121,42 @@
             if known.request.is_some_and(|holder| holder != request) || known.tokens != tokens {
                 return Err(Refusal::not_run(Reason::LeaseExpired));
             }
+            known.request = Some(request);
             known.expires = now + self.settings.period;
             return Ok(self.grant(lease, tokens));
         }
-        if tokens + in_use > self.free() {
-            return Err(Refusal::not_run(Reason::NoMemory).after(self.settings.retry_after));
+        if self.ended.contains_key(&lease) {
+            return Err(Refusal::not_run(Reason::LeaseExpired));
+        }
+        if tokens > self.total {
+            // It is not remembered: memory kept for it would never be enough.
+            return Err(self.no_memory());
+        }
+        self.waiting.ask(request, tokens, now + self.settings.patience);
+        let taken = in_use.saturating_add(self.ahead(request, now));
+        if taken.saturating_add(tokens) > self.free() {
+            return Err(self.no_memory());
         }
         let expires = now + self.settings.period;
         self.leases.insert(lease, Lease { request: Some(request), tokens, expires });
         Ok(self.grant(lease, tokens))
     }
 
+    /// Returns the memory that the first waiting request needs, if it comes before `request`.
+    fn ahead(&self, request: RequestId, now: Instant) -> Tokens {
+        let first = self.first_waiting(now).filter(|&(first, _)| first < request);
+        first.map_or(0, |(_, tokens)| tokens)
+    }
+
+    fn first_waiting(&self, now: Instant) -> Option<(RequestId, Tokens)> {
+        let holds = |request| self.leases.values().any(|lease| lease.request == Some(request));
+        self.waiting.first(now, |request| !holds(request))
+    }
+
+    fn no_memory(&self) -> Refusal {
+        Refusal::not_run(Reason::NoMemory).after(self.settings.retry_after)
+    }
+
     /// Extends a lease by one period from now.
     pub fn renew(&mut self, lease: LeaseId, now: Instant) -> Result<Grant, Refusal> {
         let period = self.settings.period;
@@ -125,20 +171,26 @@
     }
 
     /// Ends a lease; returns whether it was known.
-    pub fn release(&mut self, lease: LeaseId) -> bool {
+    ///
+    /// A request for the same lease that arrives later, because it was delayed or sent twice, is
+    /// refused: its holder does not know of the lease any more.
+    pub fn release(&mut self, lease: LeaseId, now: Instant) -> bool {
+        self.ended.insert(lease, now + self.settings.period);
         self.leases.remove(&lease).is_some()
     }
 
     /// Ends the leases that nobody renewed, so that the caller frees their memory.
     pub fn expire(&mut self, now: Instant) -> Vec<LeaseId> {
+        self.waiting.expire(now);
+        self.ended.retain(|_, until| *until > now);
         let expired: Vec<LeaseId> = self
             .leases
             .iter()
             .filter(|(_, lease)| lease.expires <= now)
             .map(|(&id, _)| id)
             .collect();
-        for id in &expired {
-            self.leases.remove(id);
+        for &id in &expired {
+            self.release(id, now);
         }
         expired
     }
@@ -157,6 +209,16 @@
         self.total.saturating_sub(self.used())
     }
 
+    /// Returns the memory that work without a lease may use, in tokens.
+    ///
+    /// Memory is kept for the first waiting request only if the end of work without leases gives
+    /// it enough. While it waits for another lease to end, keeping memory would not help it.
+    pub fn open(&self, now: Instant) -> Tokens {
+        let free = self.free();
+        let kept = self.first_waiting(now).map_or(0, |(_, tokens)| tokens);
+        free.checked_sub(kept).unwrap_or(free)
+    }
+
     /// Returns the memory that leases hold, in tokens.
     pub fn used(&self) -> Tokens {
         self.leases.values().map(|lease| lease.tokens).sum()
--- a/lib/src/lease/mod.rs
+++ b/lib/src/lease/mod.rs
@@ -3,6 +3,7 @@
 mod ledger;
 mod plan;
 mod reservation;
+mod waiting;
 
 pub use self::{
     ledger::{Allocation, Grant, LeaseLedger, LeaseSettings},
--- a/lib/src/lease/reservation.rs
+++ b/lib/src/lease/reservation.rs
@@ -39,10 +39,17 @@
 }
 
 impl Reservation<Collecting> {
-    /// Starts a reservation of `shares`, which must be in ascending order of target.
+    /// Starts a reservation of `shares` under new identifiers of leases.
     pub fn new(request: RequestId, shares: Vec<Share>) -> Self {
-        debug_assert!(shares.is_sorted_by(|a, b| a.target < b.target));
-        let missing = shares.into_iter().rev().map(|share| (share, Uuid::new_v4())).collect();
+        let missing = shares.into_iter().map(|share| (share, Uuid::new_v4())).collect();
+        Self::with_leases(request, missing)
+    }
+
+    /// Starts a reservation of shares under the given identifiers of leases.
+    ///
+    /// The leases are asked for in ascending order of target, whatever the order of `missing`.
+    pub fn with_leases(request: RequestId, mut missing: Vec<(Share, LeaseId)>) -> Self {
+        missing.sort_by(|(a, _), (b, _)| b.target.cmp(&a.target));
         Self { request, missing, leases: Vec::new(), state: PhantomData }
     }
 
@@ -60,8 +67,11 @@
     }
 
     /// Records the lease that was asked for.
+    ///
+    /// A grant of another lease, such as a late answer to an earlier question, changes nothing.
     pub fn granted(mut self, grant: Grant) -> Self {
-        if let Some((share, _)) = self.missing.pop() {
+        let asked = |(_, lease): &mut (Share, LeaseId)| *lease == grant.lease;
+        if let Some((share, _)) = self.missing.pop_if(asked) {
             self.leases.push((share.target, grant));
         }
         self
