config, release: list every error of a document at once

serde stops at its first error, names were not checked at all, and a document could be published under another revision than its own. The document is now compared with the schema as data (every unknown, missing or wrongly typed field), then checked for contradictions (names, references, duplicates, bounds, kinds of targets, the release note against the rest). Each problem has a path, a kind and a hint. The release note lists models, adapters, targets and zones that are added, changed or withdrawn.

--- /dev/null
+++ b/lib/src/config/shape.rs
@@ -0,0 +1,100 @@
+//! Compares a JSON value with the schema and lists every difference.
+//!
+//! The parser of serde stops at its first error; operators need all of them at once.
+
+use super::problem::{Problem, ProblemKind};
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+
+/// What a value must look like.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Shape {
+    Text,
+    Flag,
+    /// A whole number of at most this size.
+    Number(u64),
+    /// Any number; its range is checked later.
+    Real,
+    Address,
+    Option(&'static [&'static str]),
+    List(&'static Shape),
+    Object(&'static [Field]),
+    /// The shape or null.
+    Nullable(&'static Shape),
+}
+
+/// A field of an object.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Field {
+    pub(super) name: &'static str,
+    pub(super) required: bool,
+    pub(super) shape: Shape,
+}
+
+/// Adds every difference between `value` and `shape` to `problems`.
+pub(super) fn compare(value: &Value, shape: &Shape, path: &str, problems: &mut Vec<Problem>) {
+    let kind = match (shape, value) {
+        (Shape::Nullable(_), Value::Null) => None,
+        (Shape::Nullable(shape), value) => return compare(value, shape, path, problems),
+        (Shape::List(shape), Value::Array(items)) => {
+            for (index, item) in items.iter().enumerate() {
+                compare(item, shape, &format!("{path}[{index}]"), problems);
+            }
+            None
+        }
+        (Shape::Object(fields), Value::Object(object)) => {
+            compare_object(object, fields, path, problems);
+            None
+        }
+        (shape, value) => mismatch(value, shape),
+    };
+    problems.extend(kind.map(|kind| Problem::new(path, kind, value)));
+}
+
+fn compare_object(
+    object: &Map<String, Value>,
+    fields: &[Field],
+    path: &str,
+    problems: &mut Vec<Problem>,
+) {
+    for (name, value) in object {
+        let path = join(path, name);
+        match fields.iter().find(|field| field.name == name) {
+            Some(field) => compare(value, &field.shape, &path, problems),
+            None => problems.push(Problem::new(path, ProblemKind::UnknownField, value)),
+        }
+    }
+    let missing = fields.iter().filter(|field| field.required && !object.contains_key(field.name));
+    problems.extend(
+        missing.map(|field| {
+            Problem::new(join(path, field.name), ProblemKind::MissingField, "nothing")
+        }),
+    );
+}
+
+/// Returns what is wrong with a value that is neither a matching list nor a matching object.
+fn mismatch(value: &Value, shape: &Shape) -> Option<ProblemKind> {
+    let text = value.as_str();
+    let (fits, kind) = match shape {
+        Shape::Text => (text.is_some(), ProblemKind::NotAText),
+        Shape::Flag => (value.is_boolean(), ProblemKind::NotAFlag),
+        Shape::Number(max) => {
+            (value.as_u64().is_some_and(|number| number <= *max), ProblemKind::NotANumber)
+        }
+        Shape::Real => (value.is_number(), ProblemKind::NotAShare),
+        Shape::Address => {
+            let address = text.and_then(|text| text.parse::<SocketAddr>().ok());
+            (address.is_some(), ProblemKind::NotAnAddress)
+        }
+        Shape::Option(options) => {
+            (text.is_some_and(|text| options.contains(&text)), ProblemKind::NotAnOption)
+        }
+        Shape::List(_) => (false, ProblemKind::NotAList),
+        Shape::Object(_) | Shape::Nullable(_) => (false, ProblemKind::NotAnObject),
+    };
+    (!fits).then_some(kind)
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
--- a/lib/src/config/validate.rs
+++ b/lib/src/config/validate.rs
@@ -1,13 +1,20 @@
 //! Parsing and validation of configuration documents.
 
-use super::document::Fleet;
-use serde::Serialize;
-use strum::Display;
+use super::{
+    checks,
+    document::Fleet,
+    problem::{Problem, ProblemKind},
+    schema, shape,
+};
+use crate::{ids::Revision, release::ReleaseNote};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::fmt::Write;
 
 /// Why a document is refused.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ConfigError {
-    /// The document is not valid JSON or does not fit the schema.
+    /// The document is not valid JSON.
     #[error("line {line}, column {column}: {problem}")]
     Syntax {
         /// Line of the error, counted from 1.
@@ -17,38 +24,66 @@
         /// What the parser says.
         problem: String,
     },
-    /// The document fits the schema and contradicts itself.
-    #[error("{} problems", .0.len())]
+    /// The document does not fit the schema or contradicts itself.
+    #[error("{}", list(.0))]
     Invalid(Vec<Problem>),
     /// The revision in force has other content than the offered document of the same revision.
     #[error("revision {0} has two different contents")]
-    Conflict(u64),
+    Conflict(Revision),
 }
 
-/// One error of a document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Problem {
-    /// Path in the document, such as `targets[3].zone`.
-    pub path: String,
-    /// What is wrong.
-    pub kind: ProblemKind,
+/// Parses and validates a document.
+///
+/// Lists every difference from the schema. A document that fits the schema is checked for
+/// contradictions, and every one of them is listed.
+pub fn parse(text: &str) -> Result<Fleet, ConfigError> {
+    let fleet: Fleet = read(text, &schema::FLEET)?;
+    accept(checks::fleet(&fleet))?;
+    Ok(fleet)
 }
 
-/// Kinds of errors.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum ProblemKind {
-    /// The same name stands twice.
-    Duplicate,
-    /// The name is not defined in the document.
-    Undefined,
+/// Parses and validates a document that was published under `revision`.
+pub fn parse_revision(text: &str, revision: Revision) -> Result<Fleet, ConfigError> {
+    let fleet: Fleet = read(text, &schema::FLEET)?;
+    let mut problems = checks::fleet(&fleet);
+    if fleet.revision != revision {
+        problems.push(Problem::new("revision", ProblemKind::RevisionMismatch, fleet.revision));
+    }
+    accept(problems)?;
+    Ok(fleet)
 }
 
-/// Parses and validates a document.
-pub fn parse(text: &str) -> Result<Fleet, ConfigError> {
-    serde_json::from_str(text).map_err(|error| ConfigError::Syntax {
-        line: error.line(),
-        column: error.column(),
-        problem: error.to_string(),
-    })
+/// Parses a release note that stands alone; names are checked, references are not.
+pub fn parse_note(text: &str) -> Result<ReleaseNote, ConfigError> {
+    let note: ReleaseNote = read(text, &schema::RELEASE)?;
+    accept(checks::note(&note))?;
+    Ok(note)
+}
+
+fn read<T: DeserializeOwned>(text: &str, shape: &shape::Shape) -> Result<T, ConfigError> {
+    let value: Value = serde_json::from_str(text).map_err(syntax)?;
+    let mut problems = Vec::new();
+    shape::compare(&value, shape, "", &mut problems);
+    accept(problems)?;
+    // Parsing the text again, not the value, finds a field that stands twice in one object.
+    serde_json::from_str(text).map_err(syntax)
+}
+
+fn accept(problems: Vec<Problem>) -> Result<(), ConfigError> {
+    if problems.is_empty() { Ok(()) } else { Err(ConfigError::Invalid(problems)) }
+}
+
+fn syntax(error: serde_json::Error) -> ConfigError {
+    ConfigError::Syntax { line: error.line(), column: error.column(), problem: error.to_string() }
+}
+
+/// Problems that a log line or state dump lists; `fulmarhead check` lists all.
+const LISTED: usize = 10;
+
+fn list(problems: &[Problem]) -> String {
+    let mut text = format!("{} problems", problems.len());
+    for problem in problems.iter().take(LISTED) {
+        let _ = write!(text, "; {problem}");
+    }
+    text
 }
--- a/lib/src/config/view.rs
+++ b/lib/src/config/view.rs
@@ -2,7 +2,7 @@
 
 use super::{
     document::Fleet,
-    validate::{ConfigError, parse},
+    validate::{ConfigError, parse_revision},
 };
 use crate::{
     control::{Stamp, SyncReply},
@@ -68,7 +68,7 @@
                 };
             }
         }
-        let fleet = parse(&bundle.text)?;
+        let fleet = parse_revision(&bundle.text, bundle.revision)?;
         self.current = Some((Arc::new(fleet), bundle, digest));
         Ok(Adoption::Adopted)
     }
--- a/lib/src/keys/key.rs
+++ b/lib/src/keys/key.rs
@@ -79,7 +79,8 @@
     }
 }
 
-fn is_name(text: &str) -> bool {
+/// Returns whether an idempotency key can carry `text` as the name of its target.
+pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     !text.is_empty() && text.len() <= 64 && text.chars().all(allowed)
 }
--- a/lib/src/keys/mod.rs
+++ b/lib/src/keys/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     answers::Answer,
-    key::{IdempotencyKey, KeyError},
+    key::{IdempotencyKey, KeyError, is_name},
     ledger::{Begin, Claim, Dispatched, KeyLedger, KeySettings, KeyState, Recorded},
 };
--- a/lib/src/release/mod.rs
+++ b/lib/src/release/mod.rs
@@ -2,4 +2,4 @@
 
 mod note;
 
-pub use self::note::{Change, ReleaseNote};
+pub use self::note::{Action, AdapterChange, ModelChange, ReleaseNote, TargetChange, ZoneChange};
