release: decide the next step of a rollout

Every agent computes the same group and ranks from the configuration. A turn is claimed first and shown in `Progress`, then the whole group is asked, then the turn begins: of several targets that claim at once, the last one sees the claims of all others, also when their views differ. A target that was not seen under the same configuration counts as unavailable, and one of lower rank blocks. Work drains before the first order, weight loads are spread by rank, and fencing numbers rise over restarts; an agent whose engine has taken a higher number gives no orders.

--- a/lib/src/config/checks/release.rs
+++ b/lib/src/config/checks/release.rs
@@ -2,7 +2,7 @@
 
 use super::collector::Collector;
 use crate::{
-    config::{Fleet, ProblemKind},
+    config::{Fleet, Kind, ProblemKind},
     release::{Action, ModelChange, ReleaseNote},
 };
 use std::collections::BTreeSet;
@@ -74,6 +74,10 @@
     for (index, change) in note.targets.iter().enumerate() {
         let target = fleet.target(&change.target);
         let in_service = target.map(|target| !target.departing);
+        let worker = target.is_some_and(|target| target.kind == Kind::Application);
+        if let (true, Some(role)) = (worker, &change.role) {
+            found.add(format!("release.targets[{index}].role"), ProblemKind::RoleOfWorker, role);
+        }
         let path = format!("release.targets[{index}].target");
         agree(change.action, in_service, path, &change.target, found);
     }
--- a/lib/src/config/problem.rs
+++ b/lib/src/config/problem.rs
@@ -84,6 +84,8 @@
     MissingVersion,
     /// The release note names what only an added or changed item can have.
     NotForWithdrawn,
+    /// The release note gives a role to an application worker.
+    RoleOfWorker,
 }
 
 impl Problem {
@@ -140,6 +142,7 @@
             Self::StillInService => "take it out of service in the document as well",
             Self::MissingVersion => "name the version to load",
             Self::NotForWithdrawn => "remove the field; a withdrawn item takes none",
+            Self::RoleOfWorker => "remove `role`; only engines have one",
         }
     }
 }
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -6,6 +6,7 @@
     ids::{ApplicationId, Incarnation, ModelId, RequestId, Revision, TargetId, Tokens},
     lease::Grant,
     outcome::Refusal,
+    release::Stage,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -88,6 +89,8 @@
     pub done: bool,
     /// Whether the target takes new work.
     pub serving: bool,
+    /// Where the target stands in its turn to change.
+    pub stage: Stage,
 }
 
 /// Asks for engine memory.
--- a/lib/src/release/mod.rs
+++ b/lib/src/release/mod.rs
@@ -1,5 +1,18 @@
 //! The release note: what the fleet is to become, and whose turn it is to change.
 
+mod desired;
+mod fencing;
+mod group;
 mod note;
+mod order;
+mod rollout;
+mod turn;
 
-pub use self::note::{Action, AdapterChange, ModelChange, ReleaseNote, TargetChange, ZoneChange};
+pub use self::{
+    desired::orders,
+    fencing::{Fencing, Superseded},
+    group::Reports,
+    note::{Action, AdapterChange, ModelChange, ReleaseNote, TargetChange, ZoneChange},
+    order::{LoadedModel, Order, OrderRequest},
+    rollout::{EngineState, Rollout, Situation, Stage, Step, WaitReason},
+};
--- a/lib/tests/config.rs
+++ b/lib/tests/config.rs
@@ -189,6 +189,7 @@
                 ("release.models[1].model", P::Duplicate),
                 ("release.adapters[1].adapter", P::Duplicate),
                 ("release.targets[1].role", P::NotForWithdrawn),
+                ("release.targets[1].role", P::RoleOfWorker),
             ],
         ),
         /// Guards against a note that the document contradicts, which no agent could fulfil.
--- /dev/null
+++ b/lib/tests/release.rs
@@ -0,0 +1,277 @@
+//! The rollout of a release note: orders, turns and fencing numbers.
+
+use fulmarhead_lib::{
+    admission::Phase,
+    clock::Clock,
+    config::{Entry, Fleet, Kind, Model, Target, Zone},
+    control::{Load, Report},
+    release::{
+        Action, AdapterChange, EngineState, Fencing, LoadedModel, ModelChange, Order, ReleaseNote,
+        Reports, Rollout, Situation, Stage, Step, WaitReason, orders,
+    },
+};
+use quickcheck::{Arbitrary, Gen};
+use std::time::{Duration, SystemTime};
+use testutils::{ManualClock, cases};
+
+/// Seeds of the random test; a failure prints the one that it came from.
+const SEEDS: std::ops::Range<u64> = 0..300;
+
+fn target(index: usize) -> Target {
+    let address = |port: u16| ([10, 0, 0, index as u8], port).into();
+    Target {
+        id: format!("e{index}"),
+        zone: "a".to_owned(),
+        kind: Kind::Engine,
+        work: address(1),
+        control: address(2),
+        models: vec!["m".to_owned()],
+        application: None,
+        departing: false,
+    }
+}
+
+fn note(max_unavailable: usize) -> ReleaseNote {
+    let model = ModelChange {
+        action: Action::Changed,
+        model: "m".to_owned(),
+        version: Some("2".to_owned()),
+        targets: Vec::new(),
+    };
+    let adapters = Vec::new();
+    let (targets, zones) = (Vec::new(), Vec::new());
+    let stagger_ms = 1_000;
+    ReleaseNote {
+        number: 1,
+        max_unavailable,
+        stagger_ms,
+        models: vec![model],
+        adapters,
+        targets,
+        zones,
+    }
+}
+
+fn fleet(targets: usize, max_unavailable: usize) -> Fleet {
+    Fleet {
+        revision: 1,
+        zones: vec![Zone { id: "a".to_owned(), in_service: true }],
+        models: vec![Model { id: "m".to_owned(), max_tokens: 1 }],
+        targets: (0..targets).map(target).collect(),
+        entries: Vec::<Entry>::new(),
+        teams: Vec::new(),
+        applications: Vec::new(),
+        bounds: Default::default(),
+        policy: Default::default(),
+        release: Some(note(max_unavailable)),
+    }
+}
+
+fn loaded(version: &str, adapters: &[&str]) -> Vec<LoadedModel> {
+    let adapters = adapters.iter().map(|adapter| (*adapter).to_owned()).collect();
+    vec![LoadedModel { model: "m".to_owned(), version: version.to_owned(), adapters }]
+}
+
+fn load_model() -> Order {
+    Order::LoadModel { model: "m".to_owned(), version: "2".to_owned() }
+}
+
+/// An agent with its engine, without I/O.
+#[derive(Clone)]
+struct Agent {
+    rollout: Rollout,
+    loaded: Vec<LoadedModel>,
+    work: usize,
+    restarts: u64,
+    fencing: u64,
+    reports: Reports,
+}
+
+impl Agent {
+    fn new(index: usize) -> Self {
+        let rollout = Rollout::new(format!("e{index}"), SystemTime::UNIX_EPOCH, 0);
+        let loaded = loaded("1", &[]);
+        Self { rollout, loaded, work: 0, restarts: 0, fencing: 0, reports: Reports::new() }
+    }
+
+    fn report(&self, index: usize) -> Report {
+        Report {
+            target: format!("e{index}"),
+            incarnation: 0,
+            revision: 1,
+            phase: Phase::Serving,
+            models: Vec::new(),
+            application: None,
+            load: Load::default(),
+            progress: self.rollout.progress(true),
+        }
+    }
+
+    /// Steps with the reports that were read since the last step.
+    fn step(&mut self, fleet: &Fleet, clock: &ManualClock) -> Step {
+        let reports = std::mem::take(&mut self.reports);
+        let (restarts, fencing) = (self.restarts, self.fencing);
+        let engine =
+            EngineState { loaded: &self.loaded, role: "", fencing, restarts, work: self.work };
+        let step =
+            self.rollout.step(&Situation { fleet, engine, reports: &reports, now: clock.now() });
+        if let Step::Order(request) = &step {
+            assert!(request.fencing > self.fencing, "fencing numbers rise");
+            self.fencing = request.fencing;
+        }
+        step
+    }
+
+    fn ordered(&mut self, fleet: &Fleet, clock: &ManualClock) -> Order {
+        match self.step(fleet, clock) {
+            Step::Order(request) => request.order,
+            other => panic!("expected an order, not {other:?}"),
+        }
+    }
+}
+
+fn check_orders(
+    version: Option<&str>,
+    adapter: Option<Action>,
+    loaded: &[LoadedModel],
+    expected: &[Order],
+) {
+    let mut note = note(1);
+    note.models[0].version = version.map(ToOwned::to_owned);
+    let change = |action| AdapterChange { action, model: "m".to_owned(), adapter: "fr".to_owned() };
+    note.adapters = adapter.into_iter().map(change).collect();
+    assert_eq!(orders(&note, &target(0), loaded, ""), expected);
+}
+
+fn adapter_order(load: bool) -> Order {
+    let (model, adapter) = ("m".to_owned(), "fr".to_owned());
+    if load {
+        Order::LoadAdapter { model, adapter }
+    } else {
+        Order::UnloadAdapter { model, adapter }
+    }
+}
+
+cases! {
+    check_orders {
+        nothing_to_do: (Some("1"), None, &loaded("1", &[]), &[]),
+        other_version: (Some("2"), None, &loaded("1", &[]), &[load_model()]),
+        model_not_loaded: (Some("2"), Some(Action::Added), &[], &[load_model()]),
+        model_withdrawn: (
+            None, Some(Action::Added), &loaded("1", &[]), &[Order::UnloadModel { model: "m".to_owned() }],
+        ),
+        adapter_added: (Some("1"), Some(Action::Added), &loaded("1", &[]), &[adapter_order(true)]),
+        adapter_withdrawn: (Some("1"), Some(Action::Withdrawn), &loaded("1", &["fr"]), &[adapter_order(false)]),
+        adapter_present: (Some("1"), Some(Action::Changed), &loaded("1", &["fr"]), &[]),
+    }
+}
+
+/// Guards against numbers that fall when an agent restarts without a disk or its wall clock
+/// steps back, and against an agent that wakes late and overtakes its successor.
+#[test]
+fn fencing_numbers_rise_over_restarts() {
+    let wall = |millis| SystemTime::UNIX_EPOCH + Duration::from_millis(millis);
+    let mut first = Fencing::new(wall(1_000), 0);
+    assert_eq!([first.next(0), first.next(1_001)], [Ok(1_001), Ok(1_002)]);
+    let mut second = Fencing::new(wall(10), 1_002);
+    assert_eq!(second.next(1_002), Ok(1_003));
+    assert!(first.next(1_003).is_err());
+    assert_eq!(Fencing::new(wall(2_000), 0).next(0), Ok(2_001));
+}
+
+/// Guards against an order before running work has ended, and against weights read at once.
+#[test]
+fn target_drains_then_waits_for_its_place_then_loads() {
+    let clock = ManualClock::default();
+    let fleet = fleet(2, 2);
+    let mut agents = [Agent::new(0), Agent::new(1)];
+    agents[1].work = 1;
+    for expected in [Step::Wait(WaitReason::Claimed), Step::Drain, Step::Drain] {
+        agents[1].reports.insert("e0".to_owned(), agents[0].report(0));
+        assert_eq!(agents[1].step(&fleet, &clock), expected);
+    }
+    agents[1].work = 0;
+    assert_eq!(agents[1].step(&fleet, &clock), Step::Wait(WaitReason::Stagger));
+    clock.advance(Duration::from_secs(1));
+    assert_eq!(agents[1].ordered(&fleet, &clock), load_model());
+    assert_eq!(agents[1].step(&fleet, &clock), Step::Pending);
+    agents[1].restarts += 1;
+    assert_eq!(agents[1].ordered(&fleet, &clock), load_model());
+    agents[1].loaded = loaded("2", &[]);
+    assert_eq!(agents[1].step(&fleet, &clock), Step::Done);
+    assert_eq!(agents[1].rollout.stage(), Stage::Waiting);
+}
+
+/// Guards against a turn that is taken although a target of lower rank was not seen, or was seen
+/// under another configuration.
+fn check_unseen(revision: Option<u64>) {
+    let clock = ManualClock::default();
+    let fleet = fleet(2, 2);
+    let (first, mut second) = (Agent::new(0), Agent::new(1));
+    if let Some(revision) = revision {
+        second.reports.insert("e0".to_owned(), Report { revision, ..first.report(0) });
+    }
+    let expected = Step::Wait(WaitReason::Unseen("e0".to_owned()));
+    assert_eq!(second.step(&fleet, &clock), expected);
+}
+
+cases! {
+    check_unseen {
+        not_seen: (None),
+        seen_with_an_older_revision: (Some(0)),
+        seen_with_a_newer_revision: (Some(2)),
+    }
+}
+
+/// One random history: reads, lost reads, steps, ends of loads, and engines that forget.
+///
+/// Returns whether every target finished once all could see each other.
+fn run_history(seed: u64) -> bool {
+    let mut g = Gen::from_size_and_seed(30, seed);
+    let clock = ManualClock::default();
+    let count = 2 + usize::arbitrary(&mut g) % 5;
+    let max = 1 + usize::arbitrary(&mut g) % (count - 1);
+    let fleet = fleet(count, max);
+    let mut agents: Vec<Agent> = (0..count).map(Agent::new).collect();
+    for event in 0..800 {
+        let (at, peer) = (usize::arbitrary(&mut g) % count, usize::arbitrary(&mut g) % count);
+        match u8::arbitrary(&mut g) % 16 {
+            0..=9 => {
+                let report = agents[peer].report(peer);
+                agents[at].reports.insert(report.target.clone(), report);
+            }
+            10..=12 => drop(agents[at].step(&fleet, &clock)),
+            13 if agents[at].fencing > 0 => agents[at].loaded = loaded("2", &[]),
+            14 => agents[at].loaded = loaded("1", &[]),
+            _ => clock.advance(Duration::from_millis(300)),
+        }
+        let changing = |agent: &&Agent| agent.rollout.stage() == Stage::Changing;
+        let changing = agents.iter().filter(changing).count();
+        assert!(changing <= max, "seed {seed}, event {event}: {changing} change, {max} may");
+    }
+    settle(&mut agents, &fleet, &clock)
+}
+
+fn settle(agents: &mut [Agent], fleet: &Fleet, clock: &ManualClock) -> bool {
+    for _ in 0..200 {
+        clock.advance(Duration::from_secs(10));
+        for at in 0..agents.len() {
+            let reports =
+                agents.iter().enumerate().map(|(i, agent)| (format!("e{i}"), agent.report(i)));
+            agents[at].reports = reports.collect();
+            if let Step::Order(_) = agents[at].step(fleet, clock) {
+                agents[at].loaded = loaded("2", &[]);
+            }
+        }
+    }
+    agents.iter().all(|agent| agent.rollout.progress(true).done)
+}
+
+/// Guards against more than `max_unavailable` targets of a group that change at once, whatever
+/// they see of each other, and against a rollout that gets stuck.
+#[test]
+fn at_most_the_allowed_number_of_a_group_changes_at_once() {
+    for seed in SEEDS {
+        assert!(run_history(seed), "seed {seed}: the rollout did not finish");
+    }
+}
--- a/runtime/src/platform/engine.rs
+++ b/runtime/src/platform/engine.rs
@@ -2,6 +2,8 @@
 
 use crate::http::{Client, ClientError, Endpoint};
 use bytes::Bytes;
+/// Body of `POST /orders` and its parts.
+pub use fulmarhead_lib::release::{LoadedModel, Order, OrderRequest};
 use fulmarhead_lib::{
     ids::{FencingNumber, LeaseId, ModelId, Position, RequestId, Tokens},
     lease::Allocation,
@@ -141,17 +143,6 @@
     pub tokens: Tokens,
 }
 
-/// A model that an engine has loaded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadedModel {
-    /// Name of the model.
-    pub model: ModelId,
-    /// Version of the model.
-    pub version: String,
-    /// Adapters beside the model.
-    pub adapters: Vec<String>,
-}
-
 /// Answer to `GET /load`.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineLoad {
@@ -176,49 +167,3 @@
     /// Highest fencing number of an order.
     pub fencing: FencingNumber,
 }
-
-/// Body of `POST /orders`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrderRequest {
-    /// Fencing number of the agent that gives the order.
-    pub fencing: FencingNumber,
-    /// What to do.
-    pub order: Order,
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
-pub enum Order {
-    /// Load a version of a model in place of the loaded one.
-    LoadModel {
-        /// Name of the model.
-        model: ModelId,
-        /// Version of the model.
-        version: String,
-    },
-    /// Unload a model.
-    UnloadModel {
-        /// Name of the model.
-        model: ModelId,
-    },
-    /// Load an adapter beside a model.
-    LoadAdapter {
-        /// Name of the model.
-        model: ModelId,
-        /// Name of the adapter.
-        adapter: String,
-    },
-    /// Unload an adapter.
-    UnloadAdapter {
-        /// Name of the model.
-        model: ModelId,
-        /// Name of the adapter.
-        adapter: String,
-    },
-    /// Change the role.
-    SetRole {
-        /// Name of the role.
-        role: String,
-    },
-}
