agent: bring the engine to the release note in turn

The decision of the rollout had no caller: engines got no orders. The phase is `draining` while the target changes.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -9,6 +9,7 @@
     ids::{Incarnation, LeaseId, RequestId, Revision, Tokens},
     keys::{KeyLedger, KeySettings},
     lease::{LeaseLedger, LeaseSettings},
+    release::{Rollout, Stage},
 };
 use fulmarhead_runtime::{
     http::Client,
@@ -75,6 +76,8 @@
     pub(crate) keys: KeyLedger,
     pub(crate) leases: LeaseLedger,
     pub(crate) load: EngineLoad,
+    /// The rollout, from the first reading of the target on.
+    pub(crate) rollout: Option<Rollout>,
     /// Whether the target was read since the start of the agent or its last long pause.
     pub(crate) seen: bool,
     /// Whether the process ends.
@@ -112,6 +115,7 @@
             keys: KeyLedger::new(target, incarnation, KeySettings::default(), wall),
             leases: LeaseLedger::new(LeaseSettings::default(), 0),
             load: EngineLoad::default(),
+            rollout: None,
             seen: false,
             stopping: false,
             ticked: now,
@@ -189,10 +193,7 @@
             models: core.load.models.iter().map(|loaded| loaded.model.clone()).collect(),
             application: own.and_then(|target| target.application.clone()),
             load: core.load_report(),
-            progress: Progress {
-                serving: core.admission.phase() == Phase::Serving,
-                ..Progress::default()
-            },
+            progress: core.progress(),
         }
     }
 
@@ -252,7 +253,10 @@
         }
         match self.view.fleet() {
             None => Phase::Starting,
-            Some(fleet) if serves(&fleet, target) => Phase::Serving,
+            Some(fleet) if serves(&fleet, target) => match self.is_changing() {
+                true => Phase::Draining,
+                false => Phase::Serving,
+            },
             Some(_) => Phase::OutOfService,
         }
     }
@@ -262,6 +266,23 @@
         self.held.extract_if(.., |_, until| *until <= now).map(|(request, _)| request).collect()
     }
 
+    /// Returns whether what the agent believes is current enough to change its target.
+    pub(crate) fn may_roll_out(&self) -> bool {
+        self.seen && !self.unsynced && !self.stopping
+    }
+
+    fn is_changing(&self) -> bool {
+        self.rollout.as_ref().is_some_and(|rollout| rollout.stage() == Stage::Changing)
+    }
+
+    fn progress(&self) -> Progress {
+        let serving = self.admission.phase() == Phase::Serving;
+        match &self.rollout {
+            Some(rollout) => rollout.progress(serving),
+            None => Progress { serving, ..Progress::default() },
+        }
+    }
+
     /// Returns the load for entries.
     pub(crate) fn load_report(&self) -> Load {
         Load {
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod control;
 mod dump;
+mod rollout;
 mod seeds;
 mod settings;
 mod target;
--- a/agent/src/tree.rs
+++ b/agent/src/tree.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     agent::{Agent, CleanupQueue},
+    rollout::roll_out,
     seeds::{ask_seed, read_service},
     settings::Settings,
     target::{clean_up, expire_leases, monitor},
@@ -116,7 +117,10 @@
 
 fn target(root: Supervisor, agent: &Arc<Agent>, queue: CleanupQueue) -> Supervisor {
     let monitored = Arc::clone(agent);
-    let root = root.permanent("monitor", move |stop| monitor(Arc::clone(&monitored), stop));
+    let rolled = Arc::clone(agent);
+    let root = root
+        .permanent("monitor", move |stop| monitor(Arc::clone(&monitored), stop))
+        .permanent("rollout", move |stop| roll_out(Arc::clone(&rolled), stop));
     if agent.settings.kind == Kind::Application {
         return root;
     }
--- a/lib/src/release/rollout.rs
+++ b/lib/src/release/rollout.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Records that the engine did not take the last order, so that the next step repeats it.
+    pub fn not_taken(&mut self) {
+        if let AnyTurn::Changing(turn) = &mut self.turn {
+            turn.state.given = None;
+        }
+    }
+
     /// Ends any turn.
     fn rest(&mut self) {
         let turn = std::mem::replace(&mut self.turn, AnyTurn::Waiting(Turn::new()));
