--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -78,6 +78,19 @@
         parts.filter_map(|part| self.parse(flag, part)).collect()
     }
 
+    /// Reads a setting that holds at least one value, with commas between them.
+    pub fn filled_list<T>(&mut self, flag: &'static str) -> Vec<T>
+    where
+        T: FromStr<Err: Display>,
+    {
+        let errors = self.errors.len();
+        let list = self.list(flag);
+        if list.is_empty() && self.errors.len() == errors {
+            self.errors.push(SettingError::Missing { flag });
+        }
+        list
+    }
+
     /// Returns the settings that `build` makes of the values, or all errors that were found.
     pub fn finish_with<T>(self, build: impl FnOnce() -> Option<T>) -> Result<T, SettingErrors> {
         match build() {
