entry: read a target's phase at once after it adopts a revision

Cause: an entry that had pushed a revision read the agent's new phase a second later, so that a zone that came back got no work for that second.

Change: the entry exchanges again at once if the agent put the offered revision in force; a refused revision still waits, or the loop would not rest. Also drops a re-export that hid where the engine orders are defined.

--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 use serde::Deserialize;
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, MissedTickBehavior, interval_at};
+use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
 /// Time between two readings of the target.
@@ -32,7 +32,7 @@
 
 /// Reads the target until `stop` is cancelled.
 pub(crate) async fn monitor(agent: Arc<Agent>, stop: CancellationToken) -> TaskResult {
-    let mut ticks = interval_at(Instant::now(), INTERVAL);
+    let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failures = 0;
     loop {
--- a/agent/tests/rollout.rs
+++ b/agent/tests/rollout.rs
@@ -7,10 +7,13 @@
     routing::{get, post},
 };
 use fulmarhead_agent::{Listeners, Settings, run};
-use fulmarhead_lib::config::Kind;
+use fulmarhead_lib::{
+    config::Kind,
+    release::{LoadedModel, Order, OrderRequest},
+};
 use fulmarhead_runtime::{
     clock::SystemClock,
-    platform::engine::{Allocations, EngineLoad, LoadedModel, Order, OrderRequest},
+    platform::engine::{Allocations, EngineLoad},
 };
 use log::LevelFilter;
 use serde_json::{Value, json};
--- a/entry/src/dispatch/large.rs
+++ b/entry/src/dispatch/large.rs
@@ -19,7 +19,7 @@
 };
 use log::info;
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tokio::time::{Instant, MissedTickBehavior, interval_at};
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Time between two renewals of a lease, a third of its period.
 const RENEW_INTERVAL: Duration = Duration::from_secs(3);
@@ -47,7 +47,8 @@
     /// Waits for `work` and renews the leases meanwhile; fails if one of them is lost.
     pub(super) async fn renew_while<T>(&self, work: impl Future<Output = T>) -> Result<T, Refusal> {
         tokio::pin!(work);
-        let mut ticks = interval_at(Instant::now() + RENEW_INTERVAL, RENEW_INTERVAL);
+        let mut ticks = interval(RENEW_INTERVAL);
+        ticks.reset();
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
--- a/entry/src/peers/agent.rs
+++ b/entry/src/peers/agent.rs
@@ -45,14 +45,30 @@
         if let Some(report) = exchange.report {
             entry.core().known.report(report, entry.clock.now());
         }
-        settle(entry, &peer, exchange.sync).await?;
+        // The agent's phase may change with the revision that it just got.
+        if settle(entry, &peer, exchange.sync).await? == Settled::PeerAdopted {
+            continue;
+        }
         // A new revision goes out at once.
         let _ = timeout(REPORT_INTERVAL, revision.changed()).await;
     }
 }
 
+/// What a comparison of configurations led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Settled {
+    /// The peer has put the entry's configuration in force.
+    PeerAdopted,
+    /// Anything else.
+    Other,
+}
+
 /// Brings both sides to the higher revision.
-pub(super) async fn settle(entry: &Entry, peer: &Peer, reply: SyncReply) -> Result<(), PeerError> {
+pub(super) async fn settle(
+    entry: &Entry,
+    peer: &Peer,
+    reply: SyncReply,
+) -> Result<Settled, PeerError> {
     match reply {
         SyncReply::Current => {}
         SyncReply::Conflict(stamp) => {
@@ -64,12 +80,15 @@
         SyncReply::Newer(bundle) => {
             entry.adopt(bundle);
         }
-        SyncReply::Behind(_) => {
-            let bundle = entry.core().view.bundle();
-            if let Some(bundle) = bundle {
-                peer.adopt(bundle).await?;
-            }
-        }
+        SyncReply::Behind(_) => return offer(entry, peer).await,
     }
-    Ok(())
+    Ok(Settled::Other)
+}
+
+async fn offer(entry: &Entry, peer: &Peer) -> Result<Settled, PeerError> {
+    let bundle = entry.core().view.bundle();
+    let Some(bundle) = bundle else { return Ok(Settled::Other) };
+    let offered = bundle.revision;
+    let adopted = peer.adopt(bundle).await? == offered;
+    Ok(if adopted { Settled::PeerAdopted } else { Settled::Other })
 }
--- a/runtime/src/platform/engine.rs
+++ b/runtime/src/platform/engine.rs
@@ -2,11 +2,10 @@
 
 use crate::http::{Client, ClientError, Endpoint};
 use bytes::Bytes;
-/// Body of `POST /orders` and its parts.
-pub use fulmarhead_lib::release::{LoadedModel, Order, OrderRequest};
 use fulmarhead_lib::{
     ids::{FencingNumber, LeaseId, ModelId, Position, RequestId, Tokens},
     lease::Allocation,
+    release::{LoadedModel, OrderRequest},
 };
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
--- a/standins/src/engine/http/status.rs
+++ b/standins/src/engine/http/status.rs
@@ -6,7 +6,8 @@
     extract::{Query, State},
     http::StatusCode,
 };
-use fulmarhead_runtime::platform::engine::{EngineLoad, OrderRequest};
+use fulmarhead_lib::release::OrderRequest;
+use fulmarhead_runtime::platform::engine::EngineLoad;
 use serde::Deserialize;
 use std::sync::Arc;
 
--- a/standins/src/engine/models.rs
+++ b/standins/src/engine/models.rs
@@ -1,8 +1,10 @@
 //! Loaded models, the role and the orders that change them.
 
 use super::{error::EngineError, settings::EngineSettings};
-use fulmarhead_lib::ids::{FencingNumber, ModelId};
-use fulmarhead_runtime::platform::engine::{LoadedModel, Order, OrderRequest};
+use fulmarhead_lib::{
+    ids::{FencingNumber, ModelId},
+    release::{LoadedModel, Order, OrderRequest},
+};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
