standins: let tests set the faults of the configuration service

The service was always up, current and without a limit. POST /debug/faults makes it down, stale (no later revision than stale_at), slow or bound to fewer calls a second; each call and each second of a waiting watch count against one limit, 2,000 a second by default. POST /debug/publish publishes a document and GET /debug/state shows the waiting watches. SIGTERM answers waiting watches with 503; before, they kept the program for the 5 s after which connections are cut.

--- a/standins/src/bin/standin-config-service.rs
+++ b/standins/src/bin/standin-config-service.rs
@@ -2,52 +2,64 @@
 
 use clap::{ArgMatches, Command};
 use eyre::WrapErr;
-use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
-use serde::Deserialize;
+use fulmarhead_runtime::{
+    clock::SystemClock,
+    settings::{Reader, SettingErrors, flag},
+};
 use standins::{
-    config_service::ConfigStore,
+    config_service::{ConfigSettings, ConfigStore},
     program::{self, Program},
 };
 use std::{fs, path::PathBuf, process::ExitCode, sync::Arc};
 
-#[derive(Debug, Deserialize)]
-struct Revised {
-    revision: u64,
+#[derive(Debug)]
+struct Settings {
+    program: Program,
+    document: Option<PathBuf>,
+    limits: ConfigSettings,
 }
 
 fn command() -> Command {
-    program::command("standin-config-service", "Stands in for the configuration service").arg(flag(
-        "document",
-        "STANDIN_DOCUMENT",
-        "File with the document to publish at the start",
-    ))
+    program::command("standin-config-service", "Stands in for the configuration service")
+        .arg(flag("document", "STANDIN_DOCUMENT", "File with the document to publish at the start"))
+        .arg(
+            flag("calls-per-second", "STANDIN_CALLS_PER_SECOND", "Limit of all readers together")
+                .default_value("2000"),
+        )
 }
 
-fn read(matches: &ArgMatches) -> Result<(Program, Option<PathBuf>), SettingErrors> {
+fn read(matches: &ArgMatches) -> Result<Settings, SettingErrors> {
     let mut reader = Reader::new(matches);
     let program = Program::read(&mut reader);
     let document = reader.optional("document");
-    reader.finish_with(|| Some((program?, document)))
-}
-
-/// Publishes the document in `path` under the revision that it names.
-fn publish(store: &ConfigStore, path: &PathBuf) -> eyre::Result<()> {
-    let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))?;
-    let revised: Revised = serde_json::from_str(&text)?;
-    store.publish(revised.revision, &text);
-    Ok(())
+    let calls_per_second = reader.required("calls-per-second");
+    reader.finish_with(|| {
+        let limits = ConfigSettings { calls_per_second: calls_per_second? };
+        Some(Settings { program: program?, document, limits })
+    })
 }
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let (program, document) = match program::parse(command(), read) {
+    let settings = match program::parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
-    let store = Arc::new(ConfigStore::default());
-    if let Some(path) = document {
-        publish(&store, &path)?;
+    let store = Arc::new(ConfigStore::new(settings.limits, SystemClock::shared()));
+    if let Some(path) = settings.document {
+        let text = fs::read_to_string(&path)
+            .wrap_err_with(|| format!("document {} can't be read", path.display()))?;
+        store.publish_document(&text)?;
     }
-    let root = program.start("configuration service", store.router()).await?;
+    let root = settings.program.start("configuration service", store.router()).await?;
+    // It is stopped before the server, which waits for its connections.
+    let root = root.permanent("watches", move |stop| {
+        let store = Arc::clone(&store);
+        async move {
+            stop.cancelled().await;
+            store.close();
+            Ok(())
+        }
+    });
     program::run(root).await
 }
--- a/standins/src/rate.rs
+++ b/standins/src/rate.rs
@@ -2,6 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+/// Wait that is named when no call will be available.
+const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
+
+/// Returns the value of `Retry-After` for a wait, in whole seconds.
+pub(crate) fn retry_after(wait: Duration) -> String {
+    (wait.as_secs_f64().ceil().max(1.0) as u64).to_string()
+}
+
 /// A token bucket.
 #[derive(Clone, Debug)]
 pub(crate) struct RateLimit {
@@ -23,7 +31,8 @@
         self.updated = now;
         self.available = (self.available + elapsed.as_secs_f64() * self.rate).min(self.burst);
         if self.available < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - self.available) / self.rate));
+            let wait = Duration::try_from_secs_f64((1.0 - self.available) / self.rate);
+            return Err(wait.unwrap_or(LONGEST_WAIT));
         }
         self.available -= 1.0;
         Ok(())
--- a/standins/src/weight_store.rs
+++ b/standins/src/weight_store.rs
@@ -1,6 +1,6 @@
 //! The weight store, whose rate limit all readers share.
 
-use crate::rate::RateLimit;
+use crate::rate::{RateLimit, retry_after};
 use axum::{
     Router,
     extract::{Path, State},
@@ -55,9 +55,8 @@
     Path((model, version)): Path<(ModelId, String)>,
 ) -> Response {
     if let Err(wait) = store.take() {
-        let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
-        return (StatusCode::TOO_MANY_REQUESTS, [(RETRY_AFTER, seconds.to_string())])
-            .into_response();
+        let headers = [(RETRY_AFTER, retry_after(wait))];
+        return (StatusCode::TOO_MANY_REQUESTS, headers).into_response();
     }
     let seed = format!("{model}/{version}\n").into_bytes();
     let weights: Vec<u8> = seed.into_iter().cycle().take(store.settings.bytes).collect();
--- a/standins/tests/command_line.rs
+++ b/standins/tests/command_line.rs
@@ -1,6 +1,10 @@
 //! The command lines of the stand-ins.
 
-use std::process::Command;
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpStream,
+    process::{Command, Stdio},
+};
 use testutils::cases;
 
 fn check_errors(program: &str, arguments: &[&str], expected: &[&str]) {
@@ -32,3 +36,35 @@
         ),
     }
 }
+
+fn state(address: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(b"GET /debug/state HTTP/1.0\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// Guards against an end by SIGTERM that cuts connections or fails.
+#[test]
+fn sigterm_answers_waiting_watches() {
+    let mut service = Command::new(env!("CARGO_BIN_EXE_standin-config-service"))
+        .arg("--address=127.0.0.1:0")
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(service.stdout.take().unwrap()).lines();
+    let line = lines.next().unwrap().unwrap();
+    let record: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let address = record["attributes"]["address"].as_str().unwrap();
+    let mut watch = TcpStream::connect(address).unwrap();
+    let request = "GET /v1/watch/fleet/head?after=0&wait_ms=60000 HTTP/1.1\r\nhost: a\r\n\r\n";
+    watch.write_all(request.as_bytes()).unwrap();
+    while !state(address).contains("\"watches\":1") {}
+    let kill = Command::new("kill").arg(service.id().to_string()).status().unwrap();
+    assert!(kill.success());
+    let mut answer = String::new();
+    watch.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(service.wait().unwrap().success());
+}
