standins: keep unread streams of the engine in order

Each token of each stream looked through all streams for the next hold time to end. Streams without a connection are now kept in the order of their loss.

--- a/standins/src/engine/admit.rs
+++ b/standins/src/engine/admit.rs
@@ -94,14 +94,14 @@
     pub(super) fn resume(&mut self, request: RequestId) -> Result<Place, EngineError> {
         let work = self.batch.work(request).ok_or(EngineError::UnknownStream)?;
         let place = Place { request, number: work.number, state: work.state };
-        self.batch.attach(request);
+        self.batch.readers.attach(request);
         Ok(place)
     }
 
     /// Removes a reader from a stream.
     pub(super) fn detach(&mut self, place: Place) {
         if self.is_at(place) {
-            self.batch.detach(place.request, self.now);
+            self.batch.readers.detach(place.request, self.now);
         }
     }
 
@@ -149,7 +149,7 @@
     fn insert(&mut self, request: RequestId, work: Work, left: Tokens) -> Place {
         let place = Place { request, number: work.number, state: work.state };
         // Even a prompt that is cached as a whole takes one token of prefill.
-        self.batch.insert(request, Stream::new(work, left.max(1), self.now));
+        self.batch.insert(request, Stream::new(work, left.max(1)));
         place
     }
 
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -1,14 +1,12 @@
 //! Continuous batching: prefill in chunks by priority, and steps that add a token to each stream.
 
 use super::{
+    readers::Readers,
     settings::EngineSettings,
     stream::{Decoding, Finished, Stream, Waiting, Work},
 };
 use fulmarhead_lib::ids::{LeaseId, Position, RequestId, Tokens};
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Instant};
 
 /// The streams of an engine.
 #[derive(Debug, Default)]
@@ -16,6 +14,7 @@
     waiting: BTreeMap<RequestId, Stream<Waiting>>,
     decoding: BTreeMap<RequestId, Stream<Decoding>>,
     finished: BTreeMap<RequestId, Stream<Finished>>,
+    pub(super) readers: Readers,
     chunk: Option<Chunk>,
     step: Option<Instant>,
 }
@@ -59,8 +58,9 @@
         self.waiting.values().map(|stream| stream.phase.left).sum()
     }
 
-    /// Adds a stream.
+    /// Adds a stream with one reader.
     pub(super) fn insert(&mut self, request: RequestId, stream: Stream<Waiting>) {
+        self.readers.attach(request);
         self.waiting.insert(request, stream);
     }
 
@@ -135,6 +135,7 @@
 
     /// Removes a stream; returns its work and whether it still held memory.
     pub(super) fn remove(&mut self, request: RequestId) -> Option<(Work, bool)> {
+        self.readers.remove(request);
         let waiting = self.waiting.remove(&request).map(|stream| (stream.work, true));
         let decoding = self.decoding.remove(&request).map(|stream| (stream.work, true));
         let finished = self.finished.remove(&request).map(|stream| (stream.work, false));
@@ -170,39 +171,4 @@
         }
         self.finished.get(&request).map(|stream| Progress::Finished(stream.work.end))
     }
-
-    /// Adds a connection to a stream.
-    pub(super) fn attach(&mut self, request: RequestId) {
-        if let Some(stream) = self.waiting.get_mut(&request) {
-            stream.attach();
-        }
-        if let Some(stream) = self.decoding.get_mut(&request) {
-            stream.attach();
-        }
-        if let Some(stream) = self.finished.get_mut(&request) {
-            stream.attach();
-        }
-    }
-
-    /// Removes a connection from a stream.
-    pub(super) fn detach(&mut self, request: RequestId, now: Instant) {
-        if let Some(stream) = self.waiting.get_mut(&request) {
-            stream.detach(now);
-        }
-        if let Some(stream) = self.decoding.get_mut(&request) {
-            stream.detach(now);
-        }
-        if let Some(stream) = self.finished.get_mut(&request) {
-            stream.detach(now);
-        }
-    }
-
-    /// Returns the stream that was without a connection longest and when its hold time ends.
-    pub(super) fn next_expiry(&self, hold: Duration) -> Option<(Instant, RequestId)> {
-        let waiting = self.waiting.iter().map(|(id, stream)| (stream.unread_since(), *id));
-        let decoding = self.decoding.iter().map(|(id, stream)| (stream.unread_since(), *id));
-        let finished = self.finished.iter().map(|(id, stream)| (stream.unread_since(), *id));
-        let unread = waiting.chain(decoding).chain(finished);
-        unread.filter_map(|(since, request)| Some((since? + hold, request))).min()
-    }
 }
--- a/standins/src/engine/core.rs
+++ b/standins/src/engine/core.rs
@@ -135,8 +135,9 @@
         let chunk = self.batch.chunk_end().map(|at| (at, Event::Chunk));
         let step = self.batch.step_end().map(|at| (at, Event::Step));
         let order = self.models.order_end().map(|at| (at, Event::Order));
-        let expiry = self.batch.next_expiry(self.settings.hold);
-        let expiry = expiry.map(|(at, request)| (at, Event::Expiry(request)));
+        let unread = self.batch.readers.longest_unread();
+        let hold = self.settings.hold;
+        let expiry = unread.map(|(since, request)| (since + hold, Event::Expiry(request)));
         [chunk, step, order, expiry].into_iter().flatten().min()
     }
 
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod http;
 mod memory;
 mod models;
+mod readers;
 mod settings;
 mod shared;
 mod stream;
--- a/standins/src/engine/stream.rs
+++ b/standins/src/engine/stream.rs
@@ -1,7 +1,6 @@
 //! The life cycle of one stream: waiting for its prefill, decoding, finished.
 
 use fulmarhead_lib::ids::{LeaseId, Position, Tokens};
-use std::time::Instant;
 
 /// What a call asks of the batch.
 #[derive(Clone, Debug)]
@@ -49,26 +48,18 @@
 pub(super) struct Stream<S> {
     pub(super) work: Work,
     pub(super) phase: S,
-    readers: Readers,
-}
-
-/// The connections that read a stream.
-#[derive(Clone, Copy, Debug)]
-struct Readers {
-    count: u32,
-    since: Instant,
 }
 
 impl Stream<Waiting> {
-    /// Returns a stream with one reader and `left` tokens to prefill.
-    pub(super) fn new(work: Work, left: Tokens, now: Instant) -> Self {
-        Self { work, phase: Waiting { left }, readers: Readers { count: 1, since: now } }
+    /// Returns a stream with `left` tokens to prefill.
+    pub(super) fn new(work: Work, left: Tokens) -> Self {
+        Self { work, phase: Waiting { left } }
     }
 
     /// Begins to decode.
     pub(super) fn prefilled(self) -> Stream<Decoding> {
         let next = self.work.start;
-        Stream { work: self.work, phase: Decoding { next }, readers: self.readers }
+        Stream { work: self.work, phase: Decoding { next } }
     }
 }
 
@@ -85,24 +76,6 @@
 
     /// Ends the generation.
     pub(super) fn finish(self) -> Stream<Finished> {
-        Stream { work: self.work, phase: Finished, readers: self.readers }
-    }
-}
-
-impl<S> Stream<S> {
-    /// Adds a connection.
-    pub(super) fn attach(&mut self) {
-        self.readers.count += 1;
-    }
-
-    /// Removes a connection.
-    pub(super) fn detach(&mut self, now: Instant) {
-        self.readers.count = self.readers.count.saturating_sub(1);
-        self.readers.since = now;
-    }
-
-    /// Returns since when no connection reads the stream.
-    pub(super) fn unread_since(&self) -> Option<Instant> {
-        (self.readers.count == 0).then_some(self.readers.since)
+        Stream { work: self.work, phase: Finished }
     }
 }
