admission: move the decision on the phase into the library

Cause: whether a target takes new work was decided in the agent's state, where the model check could not step it. Changed: `Phase::of` decides from what the agent knows of itself and its target (`Standing`) and the configuration in force. A comment on waiting requests says what the order by identifier prevents. Seen: cargo test of lib, agent and entry passes as before.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -2,9 +2,9 @@
 
 use crate::settings::Settings;
 use fulmarhead_lib::{
-    admission::{Admission, AdmissionSettings, CapSettings, Phase},
+    admission::{Admission, AdmissionSettings, CapSettings, Phase, Standing},
     clock::{SharedClock, SteadyWall},
-    config::{Adoption, Bundle, ConfigView, Fleet},
+    config::{Adoption, Bundle, ConfigView},
     control::{Load, Progress, Report},
     ids::{Incarnation, LeaseId, RequestId, Revision, Tokens},
     keys::{KeyLedger, KeySettings},
@@ -30,9 +30,6 @@
 };
 use uuid::Uuid;
 
-/// Time without a tick of the monitor after which what the agent believes may be too old.
-const STALE_AFTER: Duration = Duration::from_secs(2);
-
 /// Streams and leases that wait for the engine to drop them.
 const CLEANUP_QUEUE: usize = 4_096;
 
@@ -244,21 +241,14 @@
     }
 
     fn phase(&self, target: &str, now: Instant) -> Phase {
-        if self.stopping {
-            return Phase::Draining;
-        }
-        // After a long pause nothing that the agent believes is current until it was refreshed.
-        if !self.seen || self.unsynced || now.saturating_duration_since(self.ticked) > STALE_AFTER {
-            return Phase::Starting;
-        }
-        match self.view.fleet() {
-            None => Phase::Starting,
-            Some(fleet) if serves(&fleet, target) => match self.is_changing() {
-                true => Phase::Draining,
-                false => Phase::Serving,
-            },
-            Some(_) => Phase::OutOfService,
-        }
+        let standing = Standing {
+            stopping: self.stopping,
+            seen: self.seen,
+            silent: now.saturating_duration_since(self.ticked),
+            unsynced: self.unsynced,
+            changing: self.is_changing(),
+        };
+        Phase::of(standing, self.view.fleet().as_deref(), target)
     }
 
     /// Removes and returns the held streams whose reader did not come back in time.
@@ -299,7 +289,3 @@
 /// The queue of cleanups, for the task that works it off.
 #[derive(Clone)]
 pub struct CleanupQueue(pub(crate) Arc<tokio::sync::Mutex<mpsc::Receiver<Cleanup>>>);
-
-fn serves(fleet: &Fleet, id: &str) -> bool {
-    fleet.target(id).is_some_and(|target| fleet.in_service(target))
-}
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -2,8 +2,10 @@
 
 mod cap;
 mod controller;
+mod phase;
 
 pub use self::{
     cap::CapSettings,
     controller::{Admission, AdmissionSettings, Phase, Work},
+    phase::{STALE_AFTER, Standing},
 };
--- a/lib/src/lease/waiting.rs
+++ b/lib/src/lease/waiting.rs
@@ -14,7 +14,7 @@
 ///
 /// Identifiers are UUIDs of version 7, so that the order is that of arrival at the entries. It is
 /// the same at each engine: if engines ordered requests by arrival at the engine, two requests
-/// could each be first at one engine and wait for the other one at the next.
+/// could each be first at one engine and be refused at the next because of the other one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Waiting(BTreeMap<RequestId, Ask>);
 
