cli: check documents, show the fleet, dump states, explain requests

Operators had no command line. `check` lists every error of a configuration or release note with path and hint, `status` shows entries and agents and their way to the release note (targets also from the reports that an entry holds), `dump` prints the state of a process, `explain` puts the decision lines of a request from many logs in order of time and adds up where the time went. Exit codes are 0, 1 and 2, as the long help says. chrono, which log4rs brings already, reads the times of log lines.

--- /dev/null
+++ b/cli/src/command.rs
@@ -0,0 +1,143 @@
+//! The arguments of the command line.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use fulmarhead_lib::ids::RequestId;
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Shown below the long help of the program and of each command.
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  the command succeeded; for `check`: the document would be accepted
+  1  a file or process can't be read, the document is refused, or the request is in no log
+  2  the arguments are invalid";
+
+/// A command with its arguments.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Arguments {
+    /// Checks a document.
+    Check { file: PathBuf, json: bool },
+    /// Shows the state of processes.
+    Status { addresses: Vec<SocketAddr>, json: bool },
+    /// Prints the whole state of one process.
+    Dump { address: SocketAddr },
+    /// Explains what happened to a request.
+    Explain { request: RequestId, logs: Vec<PathBuf>, json: bool },
+}
+
+/// Reads the arguments of the process; ends it on invalid ones.
+pub(crate) fn read() -> Arguments {
+    let matches = program().get_matches();
+    match matches.subcommand() {
+        Some(("check", matches)) => {
+            Arguments::Check { file: one(matches, "file"), json: matches.get_flag("json") }
+        }
+        Some(("status", matches)) => Arguments::Status {
+            addresses: many(matches, "addresses"),
+            json: matches.get_flag("json"),
+        },
+        Some(("dump", matches)) => Arguments::Dump { address: one(matches, "address") },
+        Some(("explain", matches)) => Arguments::Explain {
+            request: one(matches, "request"),
+            logs: many(matches, "logs"),
+            json: matches.get_flag("json"),
+        },
+        _ => unreachable!("clap requires one of the commands above"),
+    }
+}
+
+fn one<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches.get_one::<T>(name).cloned().expect("clap requires the argument")
+}
+
+fn many<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches.get_many::<T>(name).map(|values| values.cloned().collect()).unwrap_or_default()
+}
+
+fn program() -> Command {
+    Command::new("fulmarhead")
+        .version(clap::crate_version!())
+        .about("Checks configurations and shows the state of a fleet")
+        .after_long_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check())
+        .subcommand(status())
+        .subcommand(dump())
+        .subcommand(explain())
+}
+
+fn check() -> Command {
+    let file = Arg::new("file")
+        .required(true)
+        .value_name("FILE")
+        .help("Configuration or release note, in JSON")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("check")
+        .about("Checks a configuration or a release note and lists every error")
+        .long_about(
+            "Checks a configuration or a release note and lists every error with its path and a \
+             hint. A release note alone is checked without its references to the configuration.",
+        )
+        .after_long_help(EXIT_CODES)
+        .arg(file)
+        .arg(json())
+}
+
+fn status() -> Command {
+    let addresses = Arg::new("addresses")
+        .required(true)
+        .num_args(1..)
+        .value_name("ADDRESS")
+        .help("Operators' addresses of entries and agents, such as 10.0.0.7:7402")
+        .value_parser(value_parser!(SocketAddr));
+    Command::new("status")
+        .about("Shows entries and agents, their load and their way to the release note")
+        .long_about(
+            "Shows entries and agents, their load and their way to the release note. The reports \
+             that an entry holds show its targets too, so that one entry is enough.",
+        )
+        .after_long_help(EXIT_CODES)
+        .arg(addresses)
+        .arg(json())
+}
+
+fn dump() -> Command {
+    let address = Arg::new("address")
+        .required(true)
+        .value_name("ADDRESS")
+        .help("Operators' address of a process")
+        .value_parser(value_parser!(SocketAddr));
+    Command::new("dump")
+        .about("Prints the whole state of one process as JSON")
+        .after_long_help(EXIT_CODES)
+        .arg(address)
+}
+
+fn explain() -> Command {
+    let request = Arg::new("request")
+        .required(true)
+        .value_name("REQUEST_ID")
+        .help("Identifier of the request, as in the answer to the caller")
+        .value_parser(value_parser!(RequestId));
+    let logs = Arg::new("logs")
+        .required(true)
+        .num_args(1..)
+        .value_name("LOG")
+        .help("Log files of entries and agents")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("explain")
+        .about("Shows the decisions on one request in order of time and where the time went")
+        .long_about(
+            "Shows the decisions on one request in order of time and where the time went. The \
+             times are those of the machines that wrote the logs; a gap between two machines \
+             contains the difference of their clocks.",
+        )
+        .after_long_help(EXIT_CODES)
+        .arg(request)
+        .arg(logs)
+        .arg(json())
+}
+
+fn json() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON")
+}
--- /dev/null
+++ b/cli/src/explain/mod.rs
@@ -0,0 +1,63 @@
+//! The command `explain`.
+
+mod lines;
+mod spent;
+
+use self::{
+    lines::{Decision, find},
+    spent::{gaps, spent},
+};
+use crate::failure::Failure;
+use fulmarhead_lib::ids::RequestId;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+
+/// Shows the decisions on a request; fails if the logs have none.
+pub(crate) fn run(request: RequestId, logs: &[PathBuf], json: bool) -> Result<(), Failure> {
+    let decisions = find(request, logs)?;
+    if decisions.is_empty() {
+        return Err(Failure::UnknownRequest(request));
+    }
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&to_json(&decisions))?),
+        false => print(&decisions),
+    }
+    Ok(())
+}
+
+fn to_json(decisions: &[Decision]) -> Value {
+    let lines = decisions.iter().zip(gaps(decisions)).map(|(decision, gap)| {
+        json!({
+            "time": decision.time.to_rfc3339(),
+            "gap_ms": gap,
+            "message": decision.message,
+            "attributes": decision.attributes,
+            "file": decision.file,
+        })
+    });
+    let spent = spent(decisions).into_iter().map(|(wait, ms)| json!({ "wait": wait, "ms": ms }));
+    json!({ "decisions": lines.collect::<Vec<_>>(), "spent": spent.collect::<Vec<_>>() })
+}
+
+fn print(decisions: &[Decision]) {
+    for (decision, gap) in decisions.iter().zip(gaps(decisions)) {
+        let attributes = decision.attributes.iter().filter(|(name, _)| *name != "request");
+        let attributes: Vec<String> =
+            attributes.map(|(name, value)| format!("{name}={value}")).collect();
+        println!(
+            "{} {:>+11.3} ms  {}  {}  [{}]",
+            decision.time.to_rfc3339(),
+            gap,
+            decision.message,
+            attributes.join(" "),
+            decision.file.display(),
+        );
+    }
+    let spent = spent(decisions);
+    let total: f64 = spent.values().sum();
+    println!("\n{total:.3} ms between the first and the last decision");
+    for (wait, ms) in spent {
+        let share = if total > 0.0 { 100.0 * ms / total } else { 0.0 };
+        println!("{ms:>12.3} ms {share:>5.1}%  {wait}");
+    }
+}
--- a/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
--- /dev/null
+++ b/cli/src/status/mod.rs
@@ -0,0 +1,104 @@
+//! The command `status`.
+
+mod rows;
+mod state;
+
+use self::rows::{AgentRow, EntryRow, Fleet};
+use crate::{failure::Failure, process, report};
+use comfy_table::{Table, presets::NOTHING};
+use fulmarhead_lib::control::Progress;
+use fulmarhead_runtime::http::Client;
+use futures::{StreamExt, stream};
+use std::net::SocketAddr;
+
+/// Processes that are asked at the same time.
+const ASKED_AT_ONCE: usize = 64;
+
+/// Shows the state of the processes; fails if one of them did not give it.
+pub(crate) async fn run(addresses: &[SocketAddr], json: bool) -> Result<(), Failure> {
+    let client = Client::default();
+    let states: Vec<_> = stream::iter(addresses.iter().copied())
+        .map(|address| {
+            let client = client.clone();
+            async move { (address, process::read(&client, address).await) }
+        })
+        .buffered(ASKED_AT_ONCE)
+        .collect()
+        .await;
+    let mut fleet = Fleet::default();
+    let mut unreached = 0;
+    for (address, state) in states {
+        match state {
+            Ok(state) => fleet.add(address, state),
+            Err(failure) => {
+                unreached += 1;
+                report(&failure);
+            }
+        }
+    }
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&fleet)?),
+        false => print(&fleet),
+    }
+    if unreached == 0 { Ok(()) } else { Err(Failure::Unreached(unreached)) }
+}
+
+fn print(fleet: &Fleet) {
+    if !fleet.entries.is_empty() {
+        let mut table =
+            table(["entry", "address", "zone", "revision", "phase", "targets", "error"]);
+        for entry in &fleet.entries {
+            table.add_row(entry_cells(entry));
+        }
+        println!("{table}\n");
+    }
+    if !fleet.agents.is_empty() {
+        let mut table =
+            table(["target", "revision", "phase", "load", "kv", "release note", "error"]);
+        for (target, agent) in &fleet.agents {
+            table.add_row(agent_cells(target, agent));
+        }
+        println!("{table}");
+    }
+}
+
+fn table<const N: usize>(header: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table.load_style(NOTHING).set_header(header);
+    table
+}
+
+fn entry_cells(entry: &EntryRow) -> [String; 7] {
+    let phase = if entry.stopping { "draining" } else { "serving" };
+    [
+        entry.id.clone(),
+        entry.address.to_string(),
+        entry.zone.clone(),
+        entry.revision.to_string(),
+        phase.to_owned(),
+        entry.targets.to_string(),
+        entry.config_error.clone().unwrap_or_default(),
+    ]
+}
+
+fn agent_cells(target: &str, agent: &AgentRow) -> [String; 7] {
+    let load = &agent.load;
+    [
+        target.to_owned(),
+        agent.revision.to_string(),
+        agent.phase.to_string(),
+        format!("{}/{}", load.running, load.cap),
+        format!("{}/{}", load.kv_used, load.kv_total),
+        rollout(&agent.progress),
+        agent.config_error.clone().unwrap_or_default(),
+    ]
+}
+
+/// Returns where a target is on its way to the release note.
+fn rollout(progress: &Progress) -> String {
+    match (progress.note, progress.done) {
+        (0, _) => "none".to_owned(),
+        (note, true) => format!("{note}: done"),
+        (note, false) => format!("{note}: {}", progress.stage),
+    }
+}
--- /dev/null
+++ b/cli/src/status/state.rs
@@ -0,0 +1,43 @@
+//! The parts of state dumps that the status needs.
+
+use fulmarhead_lib::{
+    control::Report,
+    ids::{EntryId, Revision, TargetId, ZoneId},
+};
+use serde::Deserialize;
+
+/// The state of a process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "process", rename_all = "snake_case")]
+pub(super) enum State {
+    /// An entry.
+    Entry(EntryState),
+    /// An agent.
+    Agent(AgentState),
+}
+
+/// The state of an entry.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct EntryState {
+    pub(super) id: EntryId,
+    pub(super) zone: ZoneId,
+    pub(super) revision: Revision,
+    pub(super) config_error: Option<String>,
+    pub(super) stopping: bool,
+    pub(super) targets: Vec<Held>,
+}
+
+/// A report that an entry holds.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Held {
+    pub(super) report: Report,
+    pub(super) age_ms: u64,
+}
+
+/// The state of an agent.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct AgentState {
+    pub(super) target: TargetId,
+    pub(super) config_error: Option<String>,
+    pub(super) report: Report,
+}
