testutils: add a fault-injecting proxy and a fixture for processes

Failures between processes could only be tested inside one process.

The proxy is switched at run time: pass, cut, half-open, delay, throttle, and hold, which keeps answers until a test releases their connections. The process fixture starts the programs of the workspace on a loopback address of its own for each fleet, with a proxy on each link, and ends them when it is dropped.

The process fixture is not run yet; the stand-ins are no programs at this commit.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,5 +2,7 @@
 
 mod cases;
 mod clock;
+pub mod process;
+pub mod proxy;
 
 pub use self::clock::ManualClock;
