testutils: end connections at a short cut, and start fleets of two sides

A cut that was followed by another mode at once was missed by the tasks of connections, since they saw the last mode alone; the gate now counts cuts. A proxy that could not bind its address again stayed closed: a program that another test starts holds the listener until it is executed, so that the address is in use for a moment; it now binds again until it can. In a fleet of two sides an entry could get its first document from the other side, with that side's addresses; the sides are now cut from each other until each process has a revision.

--- a/testutils/src/process/caller.rs
+++ b/testutils/src/process/caller.rs
@@ -36,7 +36,7 @@
     #[error("refused: {0:?}")]
     Refused(Answer),
     /// The stream broke off.
-    #[error("stream broke off after {0} tokens")]
+    #[error("stream broke off after {0} events")]
     Broken(u64),
     /// An event is not of the published form.
     #[error("event is malformed: {0}")]
@@ -63,6 +63,11 @@
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
+    /// Returns the HTTP status, and the `outcome` if the answer is a refusal.
+    pub fn told(&self) -> (u16, String) {
+        (self.status, self.member("outcome"))
+    }
+
     /// Returns the member `name` of a problem document, empty if there is none.
     pub fn member(&self, name: &str) -> String {
         self.json()[name].as_str().unwrap_or_default().to_owned()
@@ -72,6 +77,8 @@
 /// One event of a streamed answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
+    /// Identifier, with which a caller goes on after a lost connection.
+    pub id: String,
     /// Position of the token, or the number of tokens at the end.
     pub position: u64,
     /// Text of the token.
@@ -83,7 +90,7 @@
 /// A streamed answer.
 pub struct EventStream {
     events: SseStream<BodyDataStream<Incoming>>,
-    next: u64,
+    read: u64,
 }
 
 /// A caller of one entry.
@@ -137,7 +144,7 @@
             return Err(CallerError::Refused(read(response).await?));
         }
         let events = SseStream::new(BodyDataStream::new(response.into_body()));
-        Ok(EventStream { events, next: 0 })
+        Ok(EventStream { events, read: 0 })
     }
 
     /// Asks for a key of `application`.
@@ -167,14 +174,13 @@
         let event = timeout(LIMIT, self.events.next()).await.map_err(|_| CallerError::Timeout)?;
         let event = match event {
             Some(Ok(event)) => event,
-            Some(Err(_)) | None => return Err(CallerError::Broken(self.next)),
+            Some(Err(_)) | None => return Err(CallerError::Broken(self.read)),
         };
         if event.data == "[DONE]" {
             return Ok(None);
         }
-        let event = parse(event)?;
-        self.next = event.position + 1;
-        Ok(Some(event))
+        self.read += 1;
+        Ok(Some(parse(event)?))
     }
 
     /// Reads `count` events.
@@ -202,10 +208,12 @@
     let malformed = || CallerError::Event(event.data.clone());
     let data: Value = serde_json::from_str(&event.data).map_err(|_| malformed())?;
     let choice = &data["choices"][0];
+    let position = event.id.rsplit('.').next().and_then(|text| text.parse().ok());
     Ok(Event {
-        position: event.id.parse().map_err(|_| malformed())?,
+        position: position.ok_or_else(malformed)?,
         text: choice["text"].as_str().ok_or_else(malformed)?.to_owned(),
         is_end: !choice["finish_reason"].is_null(),
+        id: event.id,
     })
 }
 
--- a/testutils/src/process/fleet.rs
+++ b/testutils/src/process/fleet.rs
@@ -60,7 +60,13 @@
     /// Starts a fleet and waits until each entry knows that each target serves.
     pub async fn start(plan: Plan) -> Result<Self, FleetError> {
         let mut fleet = Starter::new(plan).start().await?;
+        // Each side must get the document with its own addresses first.
+        fleet.set_partition(Mode::Cut);
         fleet.write_all().await?;
+        for (_, id) in fleet.plan.entry_ids().into_iter().chain(fleet.plan.target_ids()) {
+            fleet.wait_revision(&[&id], fleet.revision()).await?;
+        }
+        fleet.set_partition(Mode::Pass);
         fleet.wait_serving().await?;
         Ok(fleet)
     }
@@ -141,6 +147,12 @@
         self.put(side, "fleet/head", serde_json::to_vec(&head)?.into()).await
     }
 
+    /// Starts the configuration service of a side anew, with the document that was published last.
+    pub async fn restart_service(&mut self, side: Side) -> Result<(), FleetError> {
+        self.service(side).restart().await?;
+        self.write(side, &self.documents[side]).await
+    }
+
     /// Returns the document that was published last on a side.
     pub fn document(&self, side: Side) -> &config::Fleet {
         &self.documents[side]
--- a/testutils/src/process/observe.rs
+++ b/testutils/src/process/observe.rs
@@ -36,6 +36,8 @@
     pub phase: String,
     /// Revision in force at its agent.
     pub revision: Revision,
+    /// Age of the last report.
+    pub age: Duration,
 }
 
 impl Fleet {
@@ -61,7 +63,7 @@
     pub async fn seen_by(&self, entry: &str) -> Vec<Seen> {
         let state = self.state(entry).await.unwrap_or_default();
         let targets = state["targets"].as_array().cloned().unwrap_or_default();
-        targets.iter().map(|target| seen(&target["report"])).collect()
+        targets.iter().map(seen).collect()
     }
 
     /// Waits until each entry knows that each target serves under the last revision.
@@ -134,11 +136,13 @@
     }
 }
 
-fn seen(report: &Value) -> Seen {
+fn seen(target: &Value) -> Seen {
+    let report = &target["report"];
     let text = |name: &str| report[name].as_str().unwrap_or_default().to_owned();
     Seen {
         target: text("target"),
         phase: text("phase"),
         revision: report["revision"].as_u64().unwrap_or(0),
+        age: Duration::from_millis(target["age_ms"].as_u64().unwrap_or(0)),
     }
 }
--- a/testutils/src/process/plan.rs
+++ b/testutils/src/process/plan.rs
@@ -25,6 +25,8 @@
     pub decode_time: Duration,
     /// Time for one call of an application.
     pub service_time: Duration,
+    /// Time after SIGTERM in which an entry still takes new requests.
+    pub drain_time: Duration,
     /// Longest time for work to finish after SIGTERM.
     pub stop_bound: Duration,
 }
@@ -40,6 +42,7 @@
             prefill_rate: 400_000,
             decode_time: Duration::from_millis(5),
             service_time: Duration::from_millis(10),
+            drain_time: Duration::from_secs(1),
             stop_bound: Duration::from_secs(20),
         }
     }
--- a/testutils/src/process/start.rs
+++ b/testutils/src/process/start.rs
@@ -161,6 +161,7 @@
                 flag("ops", self.places[&format!("{id}/ops")]),
                 flag("service", self.links.address(&Link::Service(side))),
                 flag("seeds", self.seeds(side, &id)),
+                flag("drain-seconds", self.plan.drain_time.as_secs()),
                 flag("stop-seconds", self.plan.stop_bound.as_secs()),
             ];
             self.start_process(&id, Program::Entry, flags)?;
--- a/testutils/src/proxy/connection.rs
+++ b/testutils/src/proxy/connection.rs
@@ -1,6 +1,6 @@
 //! The task of one proxied connection.
 
-use super::gate::{ConnectionId, Direction, Gate, Mode};
+use super::gate::{Direction, Gate, Mode, Passage};
 use std::{io, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,37 +20,37 @@
 /// Connects to `server` and passes data on until both sides end or the proxy cuts.
 pub(super) async fn run(
     gate: Gate,
-    id: ConnectionId,
+    passage: Passage,
     client: TcpStream,
     server: SocketAddr,
 ) -> io::Result<()> {
     tokio::select! {
-        () = gate.wait_cut(true) => Ok(()),
-        result = exchange(&gate, id, client, server) => result,
+        () = gate.wait_end(passage) => Ok(()),
+        result = exchange(&gate, passage, client, server) => result,
     }
 }
 
 async fn exchange(
     gate: &Gate,
-    id: ConnectionId,
+    passage: Passage,
     client: TcpStream,
     server: SocketAddr,
 ) -> io::Result<()> {
-    gate.pass(id, Direction::Request).await;
+    gate.pass(passage, Direction::Request).await;
     let server = TcpStream::connect(server).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
-    let requests = copy(gate, id, Direction::Request, client_reader, server_writer);
-    let answers = copy(gate, id, Direction::Answer, server_reader, client_writer);
+    let requests = copy(gate, passage, Direction::Request, client_reader, server_writer);
+    let answers = copy(gate, passage, Direction::Answer, server_reader, client_writer);
     tokio::try_join!(requests, answers)?;
     Ok(())
 }
 
 async fn copy(
     gate: &Gate,
-    id: ConnectionId,
+    passage: Passage,
     direction: Direction,
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
@@ -58,7 +58,7 @@
     let mut piece = vec![0; PIECE];
     loop {
         let size = reader.read(&mut piece).await;
-        let mode = gate.pass(id, direction).await;
+        let mode = gate.pass(passage, direction).await;
         // The end of a connection is passed on under the mode of the moment, as data is.
         let size = size?;
         if size == 0 {
--- a/testutils/src/proxy/gate.rs
+++ b/testutils/src/proxy/gate.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct State {
     mode: Mode,
+    /// How often the proxy was cut, so that a short cut ends connections as well.
+    cuts: u64,
     released: BTreeSet<ConnectionId>,
 }
 
@@ -41,6 +43,14 @@
     held: Arc<Mutex<BTreeSet<ConnectionId>>>,
 }
 
+/// One connection as the gate knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Passage {
+    pub(super) id: ConnectionId,
+    /// Cuts before the connection.
+    cuts: u64,
+}
+
 /// Direction of a piece of data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Direction {
@@ -52,12 +62,24 @@
 
 impl Gate {
     pub(super) fn new(mode: Mode) -> Self {
-        let state = State { mode, released: BTreeSet::new() };
+        let state = State { mode, cuts: 0, released: BTreeSet::new() };
         Self { state: watch::Sender::new(state), held: Arc::default() }
     }
 
     pub(super) fn set(&self, mode: Mode) {
-        self.state.send_replace(State { mode, released: BTreeSet::new() });
+        self.state.send_modify(|state| {
+            state.mode = mode;
+            state.cuts += u64::from(mode == Mode::Cut);
+            state.released.clear();
+        });
+    }
+
+    pub(super) fn enter(&self, id: ConnectionId) -> Passage {
+        Passage { id, cuts: self.cuts() }
+    }
+
+    pub(super) fn cuts(&self) -> u64 {
+        self.state.borrow().cuts
     }
 
     pub(super) fn release(&self, connection: ConnectionId) {
@@ -71,27 +93,43 @@
         self.held.lock().expect("no holder of the lock panics").clone()
     }
 
-    /// Waits until the mode is [`Mode::Cut`], or any other mode.
-    pub(super) async fn wait_cut(&self, cut: bool) {
+    /// Waits until the proxy was cut more often than `cuts` times.
+    pub(super) async fn wait_cut(&self, cuts: u64) {
+        let mut state = self.state.subscribe();
+        let _ = state.wait_for(|state| state.cuts > cuts).await;
+    }
+
+    /// Waits until the mode is another one than [`Mode::Cut`].
+    pub(super) async fn wait_open(&self) {
         let mut state = self.state.subscribe();
-        let _ = state.wait_for(|state| (state.mode == Mode::Cut) == cut).await;
+        let _ = state.wait_for(|state| state.mode != Mode::Cut).await;
+    }
+
+    /// Waits until the connection was cut.
+    pub(super) async fn wait_end(&self, passage: Passage) {
+        self.wait_cut(passage.cuts).await;
     }
 
     /// Waits until a piece may pass; returns the mode that let it pass.
-    pub(super) async fn pass(&self, connection: ConnectionId, direction: Direction) -> Mode {
+    pub(super) async fn pass(&self, passage: Passage, direction: Direction) -> Mode {
         let mut state = self.state.subscribe();
+        let is_answer = direction == Direction::Answer;
         let holds = |state: &State| match state.mode {
+            _ if state.cuts > passage.cuts => false,
             Mode::HalfOpen => true,
-            Mode::Hold => direction == Direction::Answer && !state.released.contains(&connection),
+            Mode::Hold => is_answer && !state.released.contains(&passage.id),
             _ => false,
         };
-        let is_held = holds(&state.borrow());
-        if is_held && direction == Direction::Answer {
-            self.mark(connection);
+        if is_answer && holds(&state.borrow()) {
+            self.mark(passage.id);
         }
-        let mode = state.wait_for(|state| !holds(state)).await.map(|state| state.mode);
-        self.held.lock().expect("no holder of the lock panics").remove(&connection);
-        mode.unwrap_or(Mode::Cut)
+        let passed = state.wait_for(|state| !holds(state)).await;
+        let mode = match passed {
+            Ok(state) if state.cuts == passage.cuts => state.mode,
+            _ => Mode::Cut,
+        };
+        self.held.lock().expect("no holder of the lock panics").remove(&passage.id);
+        mode
     }
 
     fn mark(&self, connection: ConnectionId) {
--- a/testutils/src/proxy/listener.rs
+++ b/testutils/src/proxy/listener.rs
@@ -4,10 +4,13 @@
     connection,
     gate::{ConnectionId, Gate, Mode},
 };
-use std::{collections::BTreeSet, io, net::SocketAddr};
-use tokio::{net::TcpListener, task::JoinSet};
+use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
+use tokio::{net::TcpListener, task::JoinSet, time::sleep};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+/// Pause before an address is bound again.
+const BIND_PAUSE: Duration = Duration::from_millis(5);
+
 /// A proxy in front of one server; it ends when it is dropped.
 #[derive(Debug)]
 pub struct Proxy {
@@ -58,13 +61,13 @@
     let mut listener = Some(listener);
     let serve = async {
         loop {
+            let cuts = gate.cuts();
             let bound = match listener.take() {
-                Some(listener) => Ok(listener),
-                None => TcpListener::bind(address).await,
+                Some(listener) => listener,
+                None => bind_again(address).await,
             };
-            let Ok(bound) = bound else { return };
-            accepting.run(bound).await;
-            gate.wait_cut(false).await;
+            accepting.run(bound, cuts).await;
+            gate.wait_open().await;
         }
     };
     tokio::select! {
@@ -73,6 +76,18 @@
     }
 }
 
+/// Binds an address that was in use a moment ago.
+///
+/// A program that another test starts has the sockets of this process until it is executed.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
 /// Accepts connections and numbers them.
 struct Accepting {
     server: SocketAddr,
@@ -81,18 +96,19 @@
 }
 
 impl Accepting {
-    /// Accepts until the mode is [`Mode::Cut`], then ends all connections.
-    async fn run(&mut self, listener: TcpListener) {
+    /// Accepts until the proxy was cut more often than `cuts` times, then ends all connections.
+    async fn run(&mut self, listener: TcpListener, cuts: u64) {
         let gate = self.gate.clone();
         let mut connections = JoinSet::new();
         loop {
             let accepted = tokio::select! {
-                () = gate.wait_cut(true) => break,
+                () = gate.wait_cut(cuts) => break,
                 Some(_) = connections.join_next() => continue,
                 accepted = listener.accept() => accepted,
             };
             let Ok((client, _)) = accepted else { continue };
-            connections.spawn(connection::run(gate.clone(), self.next, client, self.server));
+            let passage = gate.enter(self.next);
+            connections.spawn(connection::run(gate.clone(), passage, client, self.server));
             self.next += 1;
         }
         connections.shutdown().await;
