entry: bound the time for a body by the request's time limit

A caller with a time limit of 1 s that stopped in the middle of its body was told so after 20 s, since the time for a body was a constant: the deadline is set before the body is read and nothing looked at it meanwhile.

The body now has to arrive within the remaining time limit, at most 20 s.

--- a/entry/src/callers/applications.rs
+++ b/entry/src/callers/applications.rs
@@ -75,7 +75,8 @@
     if key.is_none() && !repeatable {
         return Err(Refusal::not_run(Reason::KeyRequired));
     }
-    let body = body::read(body, caller.fleet.bounds.max_body).await?;
+    let remaining = caller.deadline.remaining(entry.clock.now());
+    let body = body::read(body, caller.fleet.bounds.max_body, remaining).await?;
     let request = Request::new(id, caller.team.id.clone(), Cost::default(), caller.deadline);
     let request = request.admit(Cursor::new(1, 0), key.is_none());
     let query = target.uri.query().map_or(String::new(), |query| format!("?{query}"));
--- a/entry/src/callers/completions.rs
+++ b/entry/src/callers/completions.rs
@@ -67,7 +67,8 @@
     let caller = Caller::identify(entry, headers)?;
     let seen = last_event(headers)?;
     let id = seen.as_ref().map_or(id, |seen| seen.request);
-    let body = body::read(body, caller.fleet.bounds.max_body).await?;
+    let remaining = caller.deadline.remaining(entry.clock.now());
+    let body = body::read(body, caller.fleet.bounds.max_body, remaining).await?;
     let (mut prompt, streamed) = parse(style, &body)?;
     // With one seed for all attempts a new attempt goes on with the text of the earlier one.
     prompt.sampling.entry("seed".to_owned()).or_insert_with(|| seed(id).into());
