local: test orders under failure and malformed requests by real processes

Orders: the same key at two entries at once, an owner that is restarted or paused between dispatch and answer, an answer that is lost on either side of the agent, and an entry without configuration. The application stand-in's effects are compared with what callers were told.

--- a/local/tests/processes/main.rs
+++ b/local/tests/processes/main.rs
@@ -5,6 +5,8 @@
 
 mod configuration;
 mod load;
+mod malformed;
+mod orders;
 mod partition;
 mod shutdown;
 mod streams;
--- a/testutils/src/process/caller.rs
+++ b/testutils/src/process/caller.rs
@@ -116,6 +116,11 @@
         caller
     }
 
+    /// Returns the address of the entry.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a call and reads the whole answer.
     pub async fn call(
         &self,
