--- a/standins/tests/engine/main.rs
+++ b/standins/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod batching;
 mod calls;
 mod cold;
+mod conservation;
 mod memory;
 mod orders;
 mod streams;
