release: pause after a refused order and name the right reason to wait

Against an engine without `POST /orders` an agent gave its order again in each round of 0.5 s. It now pauses 5 s. A target whose predecessors had just finished reported `Unseen` for the next one, which it had not asked; it now looks only at those that it asked.

--- a/agent/src/rollout/task.rs
+++ b/agent/src/rollout/task.rs
@@ -75,8 +75,9 @@
 async fn order(agent: &Agent, request: &OrderRequest) {
     if let Err(error) = agent.engine.order(request).await {
         warn!(fencing = request.fencing, error:%; "order was not taken");
+        let now = agent.clock.now();
         if let Some(rollout) = &mut agent.core().rollout {
-            rollout.not_taken();
+            rollout.not_taken(now);
         }
     }
 }
--- a/lib/src/release/rollout.rs
+++ b/lib/src/release/rollout.rs
@@ -23,6 +23,9 @@
 /// Time after which an order without a result is given again; a load of weights takes minutes.
 const REPEAT_AFTER: Duration = Duration::from_secs(300);
 
+/// Pause after an order that the engine did not take.
+const REFUSED_PAUSE: Duration = Duration::from_secs(5);
+
 /// Where a target stands in its turn, as the group sees it.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
@@ -188,10 +191,11 @@
         }
     }
 
-    /// Records that the engine did not take the last order, so that the next step repeats it.
-    pub fn not_taken(&mut self) {
+    /// Records that the engine did not take the last order, which is repeated after a pause.
+    pub fn not_taken(&mut self, now: Instant) {
         if let AnyTurn::Changing(turn) = &mut self.turn {
             turn.state.given = None;
+            turn.state.refused = Some(now);
         }
     }
 
@@ -257,14 +261,19 @@
         group: &Group,
         at: &Situation<'_>,
     ) -> Result<(), WaitReason> {
-        let finished = group.lower.iter().filter(|id| has_finished(id, note, at));
-        self.finished.extend(finished.cloned());
-        let open = || group.lower.iter().filter(|id| !self.finished.contains(*id));
-        let mut asked = open().take(note.max_unavailable);
-        if let Some(id) = asked.find(|id| seen(at.reports, id, at.fleet).is_none()) {
-            return Err(WaitReason::Unseen(id.clone()));
+        let open = |finished: &BTreeSet<TargetId>| -> Vec<TargetId> {
+            group.lower.iter().filter(|id| !finished.contains(*id)).cloned().collect()
+        };
+        let asked = open(&self.finished).into_iter().take(note.max_unavailable);
+        for id in asked {
+            if seen(at.reports, &id, at.fleet).is_none() {
+                return Err(WaitReason::Unseen(id));
+            }
+            if has_finished(&id, note, at) {
+                self.finished.insert(id);
+            }
         }
-        let open = open().count();
+        let open = open(&self.finished).len();
         if open >= note.max_unavailable { Err(WaitReason::Unavailable(open)) } else { Ok(()) }
     }
 }
@@ -302,6 +311,10 @@
             return Step::Pending;
         }
     }
+    let paused = |at_refusal| at.now.saturating_duration_since(at_refusal) < REFUSED_PAUSE;
+    if turn.refused.is_some_and(paused) {
+        return Step::Pending;
+    }
     let stagger = note.stagger().saturating_mul(u32::try_from(place).unwrap_or(u32::MAX));
     if next.reads_weights() && at.now.saturating_duration_since(turn.since) < stagger {
         return Step::Wait(WaitReason::Stagger);
--- a/lib/src/release/turn.rs
+++ b/lib/src/release/turn.rs
@@ -22,6 +22,8 @@
     pub(super) since: Instant,
     /// The last order, when it was given, and the engine's restarts at that time.
     pub(super) given: Option<(Order, Instant, u64)>,
+    /// When the engine last refused an order.
+    pub(super) refused: Option<Instant>,
 }
 
 /// A turn in one state of its life cycle.
@@ -46,7 +48,7 @@
 impl Turn<Claimed> {
     /// Takes the turn that the whole group allows.
     pub(super) fn begin(self, since: Instant) -> Turn<Changing> {
-        Turn { state: Changing { since, given: None } }
+        Turn { state: Changing { since, given: None, refused: None } }
     }
 
     /// Gives the claim back.
--- a/lib/tests/release.rs
+++ b/lib/tests/release.rs
@@ -202,6 +202,21 @@
     assert_eq!(agents[1].rollout.stage(), Stage::Waiting);
 }
 
+/// Guards against an engine that refuses an order and gets it again in every round.
+#[test]
+fn refused_order_is_repeated_after_a_pause() {
+    let clock = ManualClock::default();
+    let fleet = fleet(1, 1);
+    let mut agent = Agent::new(0);
+    agent.step(&fleet, &clock);
+    agent.step(&fleet, &clock);
+    assert_eq!(agent.ordered(&fleet, &clock), load_model());
+    agent.rollout.not_taken(clock.now());
+    assert_eq!(agent.step(&fleet, &clock), Step::Pending);
+    clock.advance(Duration::from_secs(5));
+    assert_eq!(agent.ordered(&fleet, &clock), load_model());
+}
+
 /// Guards against a turn that is taken although a target of lower rank was not seen, or was seen
 /// under another configuration.
 fn check_unseen(revision: Option<u64>) {
