agent: start no change of the target after a pause

A rollout task that woke after a pause of the process could decide before the monitor had noticed the pause, from an old reading of the engine and old reports. It now looks at the last tick of the monitor first.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -257,8 +257,9 @@
     }
 
     /// Returns whether what the agent believes is current enough to change its target.
-    pub(crate) fn may_roll_out(&self) -> bool {
-        self.seen && !self.unsynced && !self.stopping
+    pub(crate) fn may_roll_out(&self, now: Instant) -> bool {
+        let paused = now.saturating_duration_since(self.ticked) > STALE_AFTER;
+        self.seen && !self.unsynced && !self.stopping && !paused
     }
 
     fn is_changing(&self) -> bool {
--- a/agent/src/rollout/task.rs
+++ b/agent/src/rollout/task.rs
@@ -39,8 +39,9 @@
 
 /// Returns the configuration if there is one and the target was read.
 fn ready(agent: &Agent) -> Option<Arc<Fleet>> {
+    let now = agent.clock.now();
     let mut core = agent.core();
-    if !core.may_roll_out() {
+    if !core.may_roll_out(now) {
         return None;
     }
     let fencing = core.load.fencing;
@@ -53,7 +54,7 @@
 fn decide(agent: &Agent, reports: &Reports) -> Option<Step> {
     let now = agent.clock.now();
     let mut core = agent.core();
-    if !core.may_roll_out() {
+    if !core.may_roll_out(now) {
         return None;
     }
     let Core { view, rollout, load, admission, leases, held, .. } = &mut *core;
