config: list contradictions beside unknown fields

A misspelt field ended the validation before the checks for contradictions, so that an operator saw the rest only after correcting it. Unknown fields are now left out and the checks run on the remainder; values that are missing or of the wrong type still end it, because the checks need them.

--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -34,12 +34,15 @@
             &["check", "configuration.json"], 0, &["accepted: configuration of revision 7"], &[],
         ),
         valid_release_note: (&["check", "note.json"], 0, &["accepted: release note 3"], &[]),
-        field_that_the_schema_does_not_have: (
+        /// Guards against a misspelt field that hides the contradictions beside it.
+        unknown_field_and_contradiction: (
             &["check", "unknown_field.json"], 1, &[],
             &[
                 "entires: unknown_field: 1",
                 "  hint: remove the field or correct its name",
-                "error: unknown_field.json: refused with 1 errors",
+                "targets[0].zone: undefined: za-south-b",
+                "  hint: define the name in its list or correct it",
+                "error: unknown_field.json: refused with 2 errors",
             ],
         ),
         /// Guards against a check that stops at the first of several errors.
--- a/lib/src/config/shape.rs
+++ b/lib/src/config/shape.rs
@@ -31,13 +31,13 @@
     pub(super) shape: Shape,
 }
 
-/// Adds every difference between `value` and `shape` to `problems`.
-pub(super) fn compare(value: &Value, shape: &Shape, path: &str, problems: &mut Vec<Problem>) {
-    let kind = match (shape, value) {
+/// Adds every difference between `value` and `shape` to `problems`, and removes unknown fields.
+pub(super) fn compare(value: &mut Value, shape: &Shape, path: &str, problems: &mut Vec<Problem>) {
+    let kind = match (shape, &mut *value) {
         (Shape::Nullable(_), Value::Null) => None,
         (Shape::Nullable(shape), value) => return compare(value, shape, path, problems),
         (Shape::List(shape), Value::Array(items)) => {
-            for (index, item) in items.iter().enumerate() {
+            for (index, item) in items.iter_mut().enumerate() {
                 compare(item, shape, &format!("{path}[{index}]"), problems);
             }
             None
@@ -48,22 +48,24 @@
         }
         (shape, value) => mismatch(value, shape),
     };
-    problems.extend(kind.map(|kind| Problem::new(path, kind, value)));
+    problems.extend(kind.map(|kind| Problem::new(path, kind, &*value)));
 }
 
 fn compare_object(
-    object: &Map<String, Value>,
+    object: &mut Map<String, Value>,
     fields: &[Field],
     path: &str,
     problems: &mut Vec<Problem>,
 ) {
-    for (name, value) in object {
+    object.retain(|name, value| {
         let path = join(path, name);
-        match fields.iter().find(|field| field.name == name) {
+        let field = fields.iter().find(|field| field.name == name);
+        match field {
             Some(field) => compare(value, &field.shape, &path, problems),
-            None => problems.push(Problem::new(path, ProblemKind::UnknownField, value)),
+            None => problems.push(Problem::new(path, ProblemKind::UnknownField, &*value)),
         }
-    }
+        field.is_some()
+    });
     let missing = fields.iter().filter(|field| field.required && !object.contains_key(field.name));
     problems.extend(
         missing.map(|field| {
--- a/lib/src/config/validate.rs
+++ b/lib/src/config/validate.rs
@@ -4,7 +4,8 @@
     checks,
     document::Fleet,
     problem::{Problem, ProblemKind},
-    schema, shape,
+    schema,
+    shape::{self, Shape},
 };
 use crate::{ids::Revision, release::ReleaseNote};
 use serde::de::DeserializeOwned;
@@ -34,36 +35,41 @@
 
 /// Parses and validates a document.
 ///
-/// Lists every difference from the schema. A document that fits the schema is checked for
-/// contradictions, and every one of them is listed.
+/// Lists every difference from the schema. Unless a value is missing or of the wrong type, the
+/// document is checked for contradictions too, and every one of them is listed.
 pub fn parse(text: &str) -> Result<Fleet, ConfigError> {
-    let fleet: Fleet = read(text, &schema::FLEET)?;
-    accept(checks::fleet(&fleet))?;
-    Ok(fleet)
+    read(text, &schema::FLEET, checks::fleet)
 }
 
 /// Parses and validates a document that was published under `revision`.
 pub fn parse_revision(text: &str, revision: Revision) -> Result<Fleet, ConfigError> {
-    let fleet: Fleet = read(text, &schema::FLEET)?;
-    let mut problems = checks::fleet(&fleet);
-    if fleet.revision != revision {
-        problems.push(Problem::new("revision", ProblemKind::RevisionMismatch, fleet.revision));
-    }
-    accept(problems)?;
-    Ok(fleet)
+    read(text, &schema::FLEET, |fleet: &Fleet| {
+        let mut problems = checks::fleet(fleet);
+        if fleet.revision != revision {
+            problems.push(Problem::new("revision", ProblemKind::RevisionMismatch, fleet.revision));
+        }
+        problems
+    })
 }
 
 /// Parses a release note that stands alone; names are checked, references are not.
 pub fn parse_note(text: &str) -> Result<ReleaseNote, ConfigError> {
-    let note: ReleaseNote = read(text, &schema::RELEASE)?;
-    accept(checks::note(&note))?;
-    Ok(note)
+    read(text, &schema::RELEASE, checks::note)
 }
 
-fn read<T: DeserializeOwned>(text: &str, shape: &shape::Shape) -> Result<T, ConfigError> {
-    let value: Value = serde_json::from_str(text).map_err(syntax)?;
+fn read<T: DeserializeOwned>(
+    text: &str,
+    shape: &Shape,
+    check: impl Fn(&T) -> Vec<Problem>,
+) -> Result<T, ConfigError> {
+    let mut value: Value = serde_json::from_str(text).map_err(syntax)?;
     let mut problems = Vec::new();
-    shape::compare(&value, shape, "", &mut problems);
+    shape::compare(&mut value, shape, "", &mut problems);
+    if problems.iter().any(|problem| problem.kind != ProblemKind::UnknownField) {
+        return Err(ConfigError::Invalid(problems));
+    }
+    let parsed: T = serde_json::from_value(value).map_err(syntax)?;
+    problems.extend(check(&parsed));
     accept(problems)?;
     // Parsing the text again, not the value, finds a field that stands twice in one object.
     serde_json::from_str(text).map_err(syntax)
