--- a/local/tests/processes/shutdown.rs
+++ b/local/tests/processes/shutdown.rs
@@ -61,6 +61,8 @@
         for (prompt, mut stream, mut events) in streams {
             events.extend(stream.rest().await.unwrap());
             assert_eq!(contents(&events), expected(&prompt, LONG, 0));
+            // Work in flight ends where it runs; moving it costs its prefill once more.
+            assert_eq!(source(events.last().unwrap()), source(&events[0]));
         }
         let process = match stopped {
             Stopped::Agent => fleet.agent(&target),
