--- a/local/tests/processes/streams.rs
+++ b/local/tests/processes/streams.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use testutils::{
     cases,
-    process::{Event, Fleet, Link, Plan, block_on, eventually},
+    process::{Event, Fleet, Link, Plan, Signal, block_on, eventually},
     proxy::Mode,
 };
 
@@ -17,18 +17,22 @@
 /// Time in which all leases of a dead entry expire, with the agents' looks at them.
 const LEASE_LIMIT: Duration = Duration::from_secs(15);
 
-/// Which process dies.
+/// Which process fails.
 #[derive(Clone, Copy)]
 enum Victim {
+    /// The engine is killed.
     Engine,
+    /// The agent is killed and started again.
     Agent,
+    /// The agent is paused until its streams have moved, and then wakes.
+    PausedAgent,
 }
 
 fn plan() -> Plan {
     Plan { engines: 4, workers: 0, ..Plan::default() }
 }
 
-/// Kills the process that generates the last of `streams` answers to `size` prompt tokens.
+/// Fails the process that generates the last of `streams` answers to `size` prompt tokens.
 fn check_victim(victim: Victim, streams: u64, size: usize) {
     block_on(async {
         let mut fleet = start(plan()).await;
@@ -44,6 +48,7 @@
         match victim {
             Victim::Engine => fleet.process(&target).kill().await.unwrap(),
             Victim::Agent => fleet.agent(&target).kill().await.unwrap(),
+            Victim::PausedAgent => fleet.agent(&target).signal(Signal::STOP).unwrap(),
         }
         let mut last = target.clone();
         for (prompt, mut stream, mut events) in open {
@@ -52,6 +57,14 @@
             last = source(events.last().unwrap()).to_owned();
         }
         assert_ne!(last, target);
+        match victim {
+            Victim::Engine => return,
+            Victim::Agent => fleet.agent(&target).restart().await.unwrap(),
+            Victim::PausedAgent => fleet.agent(&target).signal(Signal::CONT).unwrap(),
+        }
+        // What the failed agent's streams and leases held is free again.
+        fleet.wait_memory_free(LEASE_LIMIT).await.unwrap();
+        fleet.wait_serving().await.unwrap();
     });
 }
 
@@ -136,6 +149,11 @@
         engine_killed_under_a_large_prompt: (Victim::Engine, 1, 110_000),
         /// Guards against a gap or a repetition when an agent dies in mid-stream.
         agent_killed: (Victim::Agent, 6, 50),
+        /// Guards against leases that are lost with the agent that gave them.
+        agent_killed_under_a_large_prompt: (Victim::Agent, 1, 110_000),
+        /// Guards against a stream that waits for an agent that was paused, and against late
+        /// tokens of the paused attempt.
+        agent_paused: (Victim::PausedAgent, 6, 50),
     }
     check_entry_killed {
         /// Guards against a gap or a repetition at the entry that goes on with a stream.
--- a/local/tests/processes/zones.rs
+++ b/local/tests/processes/zones.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use testutils::{
     cases,
-    process::{EventStream, Fleet, Plan, Seen, block_on, eventually},
+    process::{EventStream, Fleet, Plan, Seen, Signal, block_on, eventually},
 };
 
 /// Time in which no process may give new work to what is out.
@@ -107,6 +107,25 @@
     });
 }
 
+/// Guards against new work that an entry gives to a zone which went out while the entry was paused.
+#[test]
+fn entry_that_wakes_late_gives_no_work_to_a_zone_that_is_out() {
+    block_on(async {
+        let mut fleet = start(Plan { workers: 0, ..Plan::default() }).await;
+        fleet.process("entry-1").signal(Signal::STOP).unwrap();
+        let revision = fleet.publish(change(Out::Zone, true)).await.unwrap();
+        fleet
+            .wait_revision(&["entry-2", "engine-1", "engine-2", "engine-3"], revision)
+            .await
+            .unwrap();
+        let load = Load::start(&fleet, &[1], CALLERS);
+        fleet.process("entry-1").signal(Signal::CONT).unwrap();
+        load.wait_for(REQUESTS).await;
+        load.finish().await.check();
+        assert_eq!(wait_admitted(&mut fleet, "engine-2").await, 0);
+    });
+}
+
 /// Guards against an order that was refused as not run and takes effect when its zone is back.
 #[test]
 fn order_refused_by_a_zone_never_runs() {
