spec: step the wait for a configuration after a pause

Cause: the phase depends on whether a peer has compared configurations since the last long pause, and the model had that fact fixed. Changed: the monitor's tick sets it after a pause, a valid document that reaches the agent clears it, and the guarantee after a pause asks for it.

--- a/spec/src/config/model.rs
+++ b/spec/src/config/model.rs
@@ -33,6 +33,8 @@
     KeepPhase,
     /// The agent does not notice that it was paused.
     IgnorePause,
+    /// After a pause, the agent reads its target and trusts its old configuration.
+    TrustOldConfiguration,
 }
 
 /// Guarantees of configuration.
@@ -49,7 +51,8 @@
     HighestIgnored,
     /// A target out of service starts nothing new once its agent knows.
     StartedOutOfService,
-    /// After a long pause nothing starts before the agent has looked at its target.
+    /// After a long pause nothing starts before the agent has looked at its target and a
+    /// configuration has reached it.
     StartedAfterPause,
 }
 
@@ -80,6 +83,8 @@
     views: Vec<View>,
     agent: Agent,
     freshness: Freshness,
+    /// Whether a valid document has reached the agent since its start or its last long pause.
+    compared: bool,
     restarts: u8,
     broken: BTreeSet<Invariant>,
 }
@@ -152,14 +157,17 @@
                 if process == 0 {
                     next.agent = Agent::start();
                     next.freshness = Freshness::Ticked;
+                    next.compared = false;
                 }
             }
             Event::Wake => {
                 next.agent.silent = !self.is(Variant::IgnorePause);
                 next.freshness = Freshness::Woken;
+                next.compared = false;
             }
             Event::Tick => {
-                next.agent.tick();
+                next.agent.tick(&state.views[0]);
+                next.agent.unsynced &= !self.is(Variant::TrustOldConfiguration);
                 if next.freshness == Freshness::Woken {
                     next.freshness = Freshness::Ticked;
                 }
@@ -178,20 +186,25 @@
     fn offer(&self, state: &mut State, process: usize, document: Document) {
         let before = state.views[process].bundle();
         let view = &mut state.views[process];
-        self.adopt(view, before.as_ref(), &self.bundles[&document]);
+        let valid = self.adopt(view, before.as_ref(), &self.bundles[&document]);
+        if process == 0 && valid {
+            state.agent.unsynced = false;
+            state.compared = true;
+        }
         let Some(before) = before else { return };
         let conflict = matches!(view.0.last_error(), Some(ConfigError::Conflict(_)));
         let broken = compare(&before, &self.bundles[&document], view.bundle().as_ref(), conflict);
         state.broken.extend(broken.filter(|_| document != Document::Broken));
     }
 
-    /// Lets a process decide on a document, or makes the variant's fault.
-    fn adopt(&self, view: &mut View, before: Option<&Bundle>, offered: &Bundle) {
+    /// Lets a process decide on a document, or makes the variant's fault; returns whether the
+    /// document is valid and does not contradict the one in force.
+    fn adopt(&self, view: &mut View, before: Option<&Bundle>, offered: &Bundle) -> bool {
         let known = before.map_or(0, |known| known.revision);
         match self.variant {
             Variant::AdoptAny => *view = View::default(),
-            Variant::KeepFirst if before.is_some() => return,
-            Variant::CompareRevisions if known == offered.revision => return,
+            Variant::KeepFirst if before.is_some() => return true,
+            Variant::CompareRevisions if known == offered.revision => return true,
             _ => {}
         }
         let result = view.0.offer(offered.clone());
@@ -199,6 +212,7 @@
             *view = View::default();
             let _ = view.0.offer(offered.clone());
         }
+        result.is_ok()
     }
 
     fn work(&self, state: &mut State) {
@@ -214,7 +228,7 @@
         if view.is_out() {
             state.broken.insert(Invariant::StartedOutOfService);
         }
-        if state.freshness != Freshness::Current {
+        if state.freshness != Freshness::Current || !state.compared {
             state.broken.insert(Invariant::StartedAfterPause);
         }
     }
@@ -253,6 +267,7 @@
             views: vec![View::default(); self.bounds.processes],
             agent: Agent::start(),
             freshness: Freshness::Ticked,
+            compared: false,
             restarts: 0,
             broken: BTreeSet::new(),
         }
--- a/spec/src/config/process.rs
+++ b/spec/src/config/process.rs
@@ -53,6 +53,8 @@
     pub(super) seen: bool,
     /// Whether the monitor's last tick was before a long pause.
     pub(super) silent: bool,
+    /// Whether a pause was noticed and no document has reached the agent since.
+    pub(super) unsynced: bool,
     /// Whether the target took work when the agent last read it.
     pub(super) served: bool,
 }
@@ -60,21 +62,27 @@
 impl Agent {
     /// Returns an agent that starts.
     pub(super) fn start() -> Self {
-        Self { seen: false, silent: false, served: false }
+        Self { seen: false, silent: false, unsynced: false, served: false }
     }
 
     /// Returns the phase as the agent decides it for each piece of work.
     pub(super) fn phase(self, view: &View) -> Phase {
         let silent = if self.silent { STALE_AFTER * 2 } else { Duration::ZERO };
-        // Waiting for a peer or changing the target only adds phases without new work.
-        let standing =
-            Standing { stopping: false, seen: self.seen, silent, unsynced: false, changing: false };
+        // Changing the target only adds phases without new work.
+        let standing = Standing {
+            stopping: false,
+            seen: self.seen,
+            silent,
+            unsynced: self.unsynced,
+            changing: false,
+        };
         Phase::of(standing, view.0.fleet().as_deref(), TARGET)
     }
 
     /// Records a tick of the monitor, which notices a long pause.
-    pub(super) fn tick(&mut self) {
+    pub(super) fn tick(&mut self, view: &View) {
         self.seen &= !self.silent;
+        self.unsynced |= self.silent && view.0.revision() > 0;
         self.silent = false;
     }
 
--- a/spec/tests/protocol.rs
+++ b/spec/tests/protocol.rs
@@ -50,7 +50,7 @@
         /// Guards against the same where an agent forgets its leases.
         leases_never_block_after_restart: (leases(leases::Bounds::WAITING_RESTART), 3_000),
         /// Guards against revisions that go back and work that starts out of service.
-        configuration_never_reverts: (config(config::Bounds::TWO_PROCESSES), 10_000),
+        configuration_never_reverts: (config(config::Bounds::TWO_PROCESSES), 25_000),
     }
 }
 
@@ -148,5 +148,11 @@
         pause_ignored: (
             faulty_config(ConfigVariant::IgnorePause), config::Invariant::StartedAfterPause, 4,
         ),
+        /// Guards against a search that can't see work that starts on an old configuration.
+        old_configuration_trusted: (
+            faulty_config(ConfigVariant::TrustOldConfiguration),
+            config::Invariant::StartedAfterPause,
+            5,
+        ),
     }
 }
