--- a/local/src/plan.rs
+++ b/local/src/plan.rs
@@ -35,6 +35,8 @@
     pub teams: usize,
     /// How entries choose targets.
     pub policy: PolicyKind,
+    /// How the fleet weighs its aims.
+    pub weights: Policy,
     /// Port of the configuration service, 0 for any.
     pub service_port: u16,
     /// An engine whose agent is a process of its own.
@@ -54,6 +56,7 @@
             worker: ApplicationSettings::default(),
             teams: 1,
             policy: PolicyKind::default(),
+            weights: Policy::default(),
             service_port: 0,
             extra: None,
         }
@@ -94,7 +97,7 @@
             teams: (0..self.teams).map(|index| self.team(index)).collect(),
             applications: vec![self.application()],
             bounds: Bounds::default(),
-            policy: Policy::default(),
+            policy: self.weights.clone(),
             release: None,
         }
     }
--- a/local/src/settings.rs
+++ b/local/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::plan::{AgentAddresses, Plan};
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use fulmarhead_lib::config::Policy;
 use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
 use log::LevelFilter;
 
@@ -41,6 +42,12 @@
             )
             .default_value("expected_wait"),
         )
+        .arg(flag("long-share", "FULMARHEAD_LONG_SHARE", "policy.long_share of the configuration"))
+        .arg(flag(
+            "zone-reserve",
+            "FULMARHEAD_ZONE_RESERVE",
+            "policy.zone_reserve of the configuration",
+        ))
         .arg(
             flag("service-port", "FULMARHEAD_SERVICE_PORT", "Port of the configuration service")
                 .default_value("0"),
@@ -70,13 +77,21 @@
         let workers = reader.required("workers");
         let teams = reader.required("teams");
         let policy = reader.required("policy");
+        let long_share = reader.optional("long-share");
+        let zone_reserve = reader.optional("zone-reserve");
         let service_port = reader.required("service-port");
         let work = reader.optional("extra-work");
         let control = reader.optional("extra-control");
         let log_level = reader.required("log-level");
         let extra = work.zip(control).map(|(work, control)| AgentAddresses { work, control });
         reader.finish_with(|| {
+            let default = Policy::default();
+            let weights = Policy {
+                long_share: long_share.unwrap_or(default.long_share),
+                zone_reserve: zone_reserve.unwrap_or(default.zone_reserve),
+            };
             let plan = Plan {
+                weights,
                 entries: entries?,
                 engines: engines?,
                 workers: workers?,
