--- a/lib/src/limits/team.rs
+++ b/lib/src/limits/team.rs
@@ -45,8 +45,10 @@
     ) -> Result<(), Refusal> {
         let burst = budget.burst.max(1) as f64;
         let rate = budget.rate.max(1) as f64;
-        let bucket =
-            self.buckets.entry(team.to_owned()).or_insert(Bucket { level: burst, filled: now });
+        if !self.buckets.contains_key(team) {
+            self.buckets.insert(team.to_owned(), Bucket { level: burst, filled: now });
+        }
+        let Some(bucket) = self.buckets.get_mut(team) else { return Ok(()) };
         let passed = now.saturating_duration_since(bucket.filled).as_secs_f64();
         bucket.level = (bucket.level + passed * rate).min(burst);
         bucket.filled = now;
@@ -60,6 +62,11 @@
         Ok(())
     }
 
+    /// Forgets the teams that `keep` does not name, as after a change of the configuration.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.buckets.retain(|team, _| keep(team));
+    }
+
     /// Gives back tokens that a request was charged for and did not use.
     pub fn refund(&mut self, team: &str, budget: TeamBudget, tokens: Tokens) {
         if let Some(bucket) = self.buckets.get_mut(team) {
