--- /dev/null
+++ b/lib/benches/decisions.rs
@@ -0,0 +1,134 @@
+//! Time of one decision by the number of known targets and of teams.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fulmarhead_lib::{
+    admission::Phase,
+    clock::Clock,
+    config::Fleet,
+    control::{Load, Progress, Report},
+    cost::Cost,
+    limits::{TeamBudget, TeamLimiter},
+    routing::{Affinity, Directory, Need, Prefixes, Query, Router, RouterSettings, Service},
+};
+use serde_json::json;
+use std::{
+    collections::BTreeSet,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+use testutils::ManualClock;
+
+fn fleet(targets: usize) -> Fleet {
+    let target = |index| {
+        json!({
+            "id": format!("engine-{index}"), "zone": "a", "kind": "engine",
+            "work": "127.0.0.1:1", "control": "127.0.0.1:1", "models": ["assistant"],
+        })
+    };
+    let text = json!({
+        "revision": 1, "zones": [{ "id": "a" }], "models": [], "entries": [], "teams": [],
+        "targets": (0..targets).map(target).collect::<Vec<_>>(),
+    });
+    serde_json::from_value(text).expect("the document is valid")
+}
+
+fn report(index: usize) -> Report {
+    Report {
+        target: format!("engine-{index}"),
+        incarnation: 1,
+        revision: 1,
+        phase: Phase::Serving,
+        models: vec!["assistant".to_owned()],
+        application: None,
+        load: Load {
+            running: (index % 40) as u32,
+            cap: 64,
+            prefill: (index % 13) as u64 * 10_000,
+            kv_total: 450_000,
+            prefill_rate: 400_000,
+            ..Load::default()
+        },
+        progress: Progress::default(),
+    }
+}
+
+fn directory(targets: usize, now: Instant) -> Directory {
+    let mut directory = Directory::default();
+    directory.configure(&fleet(targets));
+    for index in 0..targets {
+        directory.connect(&format!("engine-{index}"), true);
+        directory.report(report(index), now);
+    }
+    directory
+}
+
+/// The choice of a target for a short prompt, as an entry makes it for each request.
+fn choose(criterion: &mut Criterion) {
+    let now = ManualClock::default().now();
+    let service = Service::Model("assistant".to_owned());
+    let tried = BTreeSet::new();
+    let cost = Cost { prompt: 4_000, output: 64 };
+    let need = Need { cost, waited: Duration::ZERO, remaining: Duration::from_secs(30) };
+    let prefixes = Prefixes::of(&"survey. ".repeat(2_000));
+    let affinity = Affinity::default();
+    let mut group = criterion.benchmark_group("choose a target");
+    for targets in [20, 1_000, 11_000] {
+        let mut directory = directory(targets, now);
+        let mut router = Router::new(RouterSettings::default());
+        let mut seed = 0;
+        group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
+            bencher.iter(|| {
+                seed += 1;
+                let class = cost.class();
+                let query = Query { service: &service, class, tried: &tried, seed, now };
+                black_box(directory.capacity(&service, now));
+                let favored = affinity.favored(&prefixes, now);
+                let candidates = directory.sample(query, &favored);
+                black_box(router.decide(need, &candidates, seed));
+            });
+        });
+    }
+    group.finish();
+}
+
+/// The sum over all targets of a model, made at most four times a second.
+fn capacity(criterion: &mut Criterion) {
+    let start = ManualClock::default().now();
+    let service = Service::Model("assistant".to_owned());
+    let mut group = criterion.benchmark_group("add up the capacity");
+    for targets in [20, 1_000, 11_000] {
+        // Reports from the future stay fresh while the time goes on below.
+        let mut directory = directory(targets, start + Duration::from_secs(1 << 30));
+        let mut now = start;
+        group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
+            bencher.iter(|| {
+                now += Duration::from_secs(1);
+                black_box(directory.capacity(&service, now));
+            });
+        });
+    }
+    group.finish();
+}
+
+/// The budget check of one request.
+fn take(criterion: &mut Criterion) {
+    let now = ManualClock::default().now();
+    let budget = TeamBudget { rate: 1_000_000, burst: 1_000_000_000 };
+    let cost = Cost { prompt: 4_000, output: 64 };
+    let mut group = criterion.benchmark_group("take from a team's budget");
+    for teams in [10, 12_000] {
+        let names: Vec<String> = (0..teams).map(|team| format!("team-{team}")).collect();
+        let mut limiter = TeamLimiter::default();
+        let mut turn = 0;
+        group.bench_function(BenchmarkId::from_parameter(teams), |bencher| {
+            bencher.iter(|| {
+                turn = (turn + 7_919) % names.len();
+                let _ = black_box(limiter.take(&names[turn], budget, cost, now));
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, choose, capacity, take);
+criterion_main!(benches);
