agent: admit calls under a key within the cap of the target

Ruled out: refusing at once with a tombstone, which would make each caller fetch a new key during a cold start.

Change: a claimed call waits for room; phase and deadline are read again at each look, the last one directly before the call is sent.

--- a/agent/src/work/applications.rs
+++ b/agent/src/work/applications.rs
@@ -1,6 +1,6 @@
 //! Calls to applications, at most once where they may not be repeated.
 
-use super::{completions::admit, refuse::Refused};
+use super::{body::Permit, completions::admit, refuse::Refused};
 use crate::agent::Agent;
 use axum::{
     body::Bytes,
@@ -9,8 +9,10 @@
     response::{IntoResponse, Response},
 };
 use fulmarhead_lib::{
+    admission::{Room, Work},
+    cost::Cost,
     digest::sha256,
-    ids::{ApplicationId, Fingerprint},
+    ids::{ApplicationId, Fingerprint, Tokens},
     keys::{Answer, Begin, Claim, IdempotencyKey, Recorded},
     outcome::{Reason, Refusal},
     request::Deadline,
@@ -20,8 +22,11 @@
     work::{IDEMPOTENCY_KEY, WorkHeaders},
 };
 use log::info;
-use std::sync::Arc;
-use tokio::time::timeout_at;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{timeout, timeout_at};
+
+/// Longest time between two looks at whether the target has room.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Largest answer of an application, in bytes.
 const MAX_ANSWER: usize = 4 << 20;
@@ -116,7 +121,9 @@
         Begin::Refuse(refusal) => return Err(refusal.into()),
         Begin::Wait => {}
         // The task outlives the connection: once sent, the call's answer has to be recorded.
-        Begin::Run(claim) => agent.spawn_call(run_claim(Arc::clone(agent), claim, call)),
+        Begin::Run(claim) => {
+            agent.spawn_call(run_claim(Arc::clone(agent), claim, work.clone(), call));
+        }
     }
     wait(agent, key, deadline).await
 }
@@ -136,15 +143,21 @@
     begin
 }
 
-async fn run_claim(agent: Arc<Agent>, claim: Claim<Recorded>, call: Call) {
-    // The deadline is read again at the last moment: the process may have been paused.
-    if call.deadline.has_passed(agent.clock.now()) {
-        agent.core().keys.abandon(claim, Reason::DeadlineExceeded);
-        agent.settle();
-        return;
-    }
+async fn run_claim(agent: Arc<Agent>, claim: Claim<Recorded>, work: WorkHeaders, call: Call) {
+    let mut permit = match wait_for_room(&agent, &work, call.deadline).await {
+        Ok(permit) => permit,
+        Err(reason) => {
+            agent.core().keys.abandon(claim, reason);
+            agent.settle();
+            return;
+        }
+    };
     let claim = agent.core().keys.dispatch(claim);
     let result = send(&agent, &call).await;
+    match &result {
+        Ok(_) => permit.finish(),
+        Err(_) => permit.fail(),
+    }
     let mut core = agent.core();
     match result {
         Ok(answer) => core.keys.answer(claim, answer),
@@ -159,6 +172,39 @@
     agent.settle();
 }
 
+/// Waits until the target has room for a call; the cap of a cold one admits few at a time.
+///
+/// The deadline and the phase are read again directly before the call is sent: the process may
+/// have been paused, and the target may have been taken out.
+async fn wait_for_room(
+    agent: &Arc<Agent>,
+    work: &WorkHeaders,
+    deadline: Deadline,
+) -> Result<Permit, Reason> {
+    let mut settled = agent.settled.subscribe();
+    loop {
+        let now = agent.clock.now();
+        if deadline.has_passed(now) {
+            return Err(Reason::DeadlineExceeded);
+        }
+        let asked = Work {
+            request: work.request,
+            cost: Cost::default(),
+            remaining: deadline.remaining(now),
+            aged: false,
+            leased: false,
+        };
+        let room = Room { unleased: Tokens::MAX, total: 0, rate: 0 };
+        let admitted = agent.current().admission.admit(asked, work.attempt, room, now);
+        match admitted.map_err(|refusal| refusal.reason) {
+            Ok(()) => return Ok(Permit::new(Arc::clone(agent), work)),
+            Err(Reason::ColdStart | Reason::Overloaded) => {}
+            Err(reason) => return Err(reason),
+        }
+        let _ = timeout(ROOM_INTERVAL, settled.changed()).await;
+    }
+}
+
 /// Waits until the key is settled or the deadline has passed.
 async fn wait(
     agent: &Arc<Agent>,
--- a/agent/src/work/body.rs
+++ b/agent/src/work/body.rs
@@ -4,6 +4,7 @@
 use axum::body::Body;
 use bytes::Bytes;
 use fulmarhead_lib::{
+    config::Kind,
     ids::{AttemptNumber, RequestId},
     request::Deadline,
 };
@@ -79,7 +80,8 @@
             core.held.insert(self.request, now + HOLD_TIME);
         }
         drop(core);
-        if abandoned && !self.hold {
+        let engine = self.agent.settings.kind == Kind::Engine;
+        if abandoned && !self.hold && engine {
             self.agent.clean_up(Cleanup::Stream(self.request));
         }
         let (request, attempt) = (self.request, self.attempt);
