admission: count the memory of leased work once

Cause: the prefill of a segment counted its prompt beside the lease that holds its memory, so that other work was refused for lack of memory meanwhile. Change: work says whether a lease holds its memory, and only the other work counts. Before: false no_memory refusals, found by reading. After: cargo test -p fulmarhead-lib passes.

--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -73,6 +73,7 @@
         cost,
         remaining: work.remaining,
         aged: is_aged(work.priority, cost.class()),
+        leased: work.lease.is_some(),
     };
     let room = Room { unleased, total: core.load.kv_total, rate: core.load.prefill_rate };
     let result = core.admission.admit(asked, work.attempt, room, now);
--- a/lib/src/admission/controller.rs
+++ b/lib/src/admission/controller.rs
@@ -68,6 +68,8 @@
     pub remaining: Duration,
     /// Whether the request has waited so long that it goes before others.
     pub aged: bool,
+    /// Whether a lease holds the memory of the work.
+    pub leased: bool,
 }
 
 /// Decides what a target takes.
@@ -84,6 +86,7 @@
 struct Running {
     cost: Cost,
     prefill: bool,
+    leased: bool,
 }
 
 impl Admission {
@@ -133,7 +136,10 @@
             Err(_) => {}
         }
         result?;
-        self.running.insert((work.request, attempt), Running { cost: work.cost, prefill: true });
+        self.running.insert(
+            (work.request, attempt),
+            Running { cost: work.cost, prefill: true, leased: work.leased },
+        );
         Ok(())
     }
 
@@ -210,9 +216,10 @@
         queue
     }
 
-    /// Returns the memory that running attempts may use, in tokens.
+    /// Returns the memory that running attempts without a lease may use, in tokens.
     pub fn memory(&self) -> Tokens {
-        self.running.values().map(|running| running.cost.kv()).sum()
+        let unleased = self.running.values().filter(|running| !running.leased);
+        unleased.map(|running| running.cost.kv()).sum()
     }
 
     /// Returns why the target takes no new work, if it does not.
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -21,7 +21,8 @@
 
 fn work(number: u128, prompt: Tokens) -> Work {
     let request = RequestId::from_u128(number);
-    Work { request, cost: cost(prompt), remaining: Duration::from_secs(30), aged: false }
+    let remaining = Duration::from_secs(30);
+    Work { request, cost: cost(prompt), remaining, aged: false, leased: false }
 }
 
 fn warm(clock: &ManualClock) -> Admission {
--- a/spec/src/config/process.rs
+++ b/spec/src/config/process.rs
@@ -98,7 +98,8 @@
     let mut admission = Admission::new(AdmissionSettings::default(), times.now(0));
     admission.set_phase(phase);
     let request = RequestId::from_u128(1);
-    let work = Work { request, cost: Cost::default(), remaining: times.step(), aged: false };
+    let (cost, remaining) = (Cost::default(), times.step());
+    let work = Work { request, cost, remaining, aged: false, leased: false };
     let room = Room { unleased: Tokens::MAX, total: 0, rate: 0 };
     admission.admit(work, 1, room, times.now(0)).is_ok()
 }
