--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -195,7 +195,8 @@
     };
     entry.observe(target, answer.headers(), None);
     if answer.headers().contains_key(REFUSAL) {
-        return Err(Lost::Refused(read_refusal(answer).await));
+        let refusal = read_refusal(answer).await;
+        return Err(refusal.map_or(Lost::Connection, Lost::Refused));
     }
     let mut answer = answer.map(Body::new);
     answer.headers_mut().remove(LOAD);
--- a/entry/src/dispatch/attempt.rs
+++ b/entry/src/dispatch/attempt.rs
@@ -176,21 +176,21 @@
     }
     match answer {
         Ok(answer) if answer.status().is_success() => Ok(answer),
-        Ok(answer) => Err(read_refusal(answer).await),
+        Ok(answer) => {
+            let refusal = read_refusal(answer).await;
+            Err(refusal.unwrap_or(Refusal::failed(Reason::TargetFailed)))
+        }
         Err(error) => Err(lost(&error)),
     }
 }
 
-/// Reads the refusal in an answer without success.
-pub(super) async fn read_refusal(answer: Response<Incoming>) -> Refusal {
-    let unreadable = Refusal::failed(Reason::TargetFailed);
+/// Reads the refusal in an answer without success; `None` if it broke off or is none.
+pub(super) async fn read_refusal(answer: Response<Incoming>) -> Option<Refusal> {
     if !answer.headers().contains_key(REFUSAL) {
-        return unreadable;
-    }
-    match read_body(answer.into_body(), MAX_REFUSAL).await {
-        Ok(body) => serde_json::from_slice(&body).unwrap_or(unreadable),
-        Err(_) => unreadable,
+        return None;
     }
+    let body = read_body(answer.into_body(), MAX_REFUSAL).await.ok()?;
+    serde_json::from_slice(&body).ok()
 }
 
 /// Returns what is known of work whose answer was lost.
