entry, agent: take each process through its life cycle as a typestate

Cause: the states Starting, Serving and Draining existed and nothing used them; readiness was a flag that five places set. Change: one function for each program moves the process from state to state, and the agent's monitor only says whether the target can be read.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -14,7 +14,6 @@
 use fulmarhead_runtime::{
     http::Client,
     platform::engine::{EngineClient, EngineLoad},
-    process::Readiness,
     supervisor::Connections,
 };
 use log::{error, info, warn};
@@ -57,7 +56,8 @@
     pub(crate) clock: SharedClock,
     pub(crate) client: Client,
     pub(crate) engine: EngineClient,
-    pub(crate) readiness: Readiness,
+    /// Whether the target was read and a configuration is in force.
+    pub(crate) able: watch::Sender<bool>,
     pub(crate) settled: watch::Sender<u64>,
     /// Whether the target can't be read for so long that running work counts as lost.
     pub(crate) lost: watch::Sender<bool>,
@@ -91,11 +91,7 @@
 
 impl Agent {
     /// Returns an agent that starts, and the queue of its cleanups.
-    pub fn new(
-        settings: Settings,
-        clock: SharedClock,
-        readiness: Readiness,
-    ) -> (Arc<Self>, CleanupQueue) {
+    pub fn new(settings: Settings, clock: SharedClock) -> (Arc<Self>, CleanupQueue) {
         let now = clock.now();
         let incarnation = Uuid::new_v4().as_u64_pair().0;
         let wall = SteadyWall::new(&*clock);
@@ -127,7 +123,7 @@
             clock,
             engine: EngineClient::new(settings.target_address, client.clone()),
             client,
-            readiness,
+            able: watch::Sender::new(false),
             settled: watch::Sender::new(0),
             lost: watch::Sender::new(false),
             cleanups,
@@ -177,7 +173,6 @@
     /// Stops to take new work.
     pub fn begin_stop(&self) {
         self.core().stopping = true;
-        self.readiness.set(false);
     }
 
     /// Returns the state for entries.
@@ -223,6 +218,14 @@
         self.settled.send_modify(|count| *count += 1);
     }
 
+    /// Waits until the target was read and a configuration is in force.
+    pub(crate) async fn configured(&self) {
+        let mut able = self.able.subscribe();
+        if able.wait_for(|able| *able).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
     /// Waits until the target counts as lost.
     pub(crate) async fn target_lost(&self) {
         let mut lost = self.lost.subscribe();
--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -96,10 +96,10 @@
     core.leases.set_total(load.kv_total);
     core.load = load;
     core.seen = true;
-    let serving = core.view.fleet().is_some() && !core.stopping;
+    let able = core.view.fleet().is_some();
     record(agent, &core);
     drop(core);
-    agent.readiness.set(serving);
+    set_able(agent, able);
     if restarted {
         warn!("target restarted; admitting as for a cold one");
     }
@@ -131,13 +131,17 @@
     }
 }
 
+fn set_able(agent: &Agent, able: bool) {
+    agent.able.send_if_modified(|known| std::mem::replace(known, able) != able);
+}
+
 fn lose(agent: &Agent, error: &ClientError) {
     let mut core = agent.core();
     let lost = core.seen;
     core.seen = false;
     core.admission.turned_cold(agent.clock.now());
     drop(core);
-    agent.readiness.set(false);
+    set_able(agent, false);
     if lost {
         warn!(error:%; "target can't be read");
     }
--- a/agent/src/tree.rs
+++ b/agent/src/tree.rs
@@ -13,12 +13,12 @@
     control::{ControlServer, Handler},
     http::{Server, ServerSettings},
     ops::{self, StateDump},
-    process::Readiness,
+    process::{Process, Readiness, Serving, Starting},
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
 use std::{future::pending, io, sync::Arc};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
 
 /// The bound listeners of an agent.
@@ -56,19 +56,49 @@
     shutdown: CancellationToken,
 ) -> TaskResult {
     let readiness = Readiness::default();
-    let (agent, queue) = Agent::new(settings, Arc::clone(&clock), readiness.clone());
+    let (agent, queue) = Agent::new(settings, Arc::clone(&clock));
+    let process = Process::new(readiness.clone());
     let root = root(&agent, queue, listeners, readiness, metrics);
     let stop = CancellationToken::new();
-    let drain = async {
-        shutdown.cancelled().await;
-        agent.begin_stop();
-        agent.drain().await;
-        stop.cancel();
-        pending().await
-    };
     tokio::select! {
         result = root.run(stop.clone()) => result,
-        never = drain => never,
+        never = live(&agent, process, shutdown, &stop) => never,
+    }
+}
+
+/// Takes the process through its life cycle; the end of the tree ends it.
+async fn live(
+    agent: &Agent,
+    starting: Process<Starting>,
+    shutdown: CancellationToken,
+    stop: &CancellationToken,
+) -> TaskResult {
+    let draining = tokio::select! {
+        () = agent.configured() => {
+            let serving = starting.serve();
+            follow(&serving, agent.able.subscribe(), &shutdown).await;
+            serving.drain()
+        }
+        () = shutdown.cancelled() => starting.drain(),
+    };
+    agent.begin_stop();
+    agent.drain().await;
+    draining.stop(stop);
+    pending().await
+}
+
+/// Shows whether the target can be read, until `shutdown` is cancelled.
+async fn follow(
+    serving: &Process<Serving>,
+    mut able: watch::Receiver<bool>,
+    shutdown: &CancellationToken,
+) {
+    loop {
+        serving.set_able(*able.borrow_and_update());
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            changed = able.changed() => if changed.is_err() { return },
+        }
     }
 }
 
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -10,11 +10,12 @@
     outcome::{Reason, Refusal},
     routing::{Affinity, Backlog, Router, RouterSettings},
 };
-use fulmarhead_runtime::{http::Client, process::Readiness, work::read_load};
+use fulmarhead_runtime::{http::Client, work::read_load};
 use hyper::HeaderMap;
 use log::{error, info};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    future::pending,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -38,7 +39,6 @@
     pub settings: Settings,
     pub(crate) clock: SharedClock,
     pub(crate) client: Client,
-    pub(crate) readiness: Readiness,
     pub(crate) revision: watch::Sender<Revision>,
     pub(crate) releases: mpsc::Sender<Release>,
     core: Mutex<Core>,
@@ -79,11 +79,7 @@
 
 impl Entry {
     /// Returns an entry that starts, and the queue of its releases.
-    pub fn new(
-        settings: Settings,
-        clock: SharedClock,
-        readiness: Readiness,
-    ) -> (Arc<Self>, ReleaseQueue) {
+    pub fn new(settings: Settings, clock: SharedClock) -> (Arc<Self>, ReleaseQueue) {
         let router = RouterSettings {
             policy: settings.policy,
             zone: settings.zone.clone(),
@@ -104,7 +100,6 @@
             settings,
             clock,
             client: Client::default(),
-            readiness,
             revision: watch::Sender::new(0),
             releases,
             core: Mutex::new(core),
@@ -151,14 +146,12 @@
         if let (Ok(Adoption::Adopted), Some(fleet)) = (&result, core.view.fleet()) {
             core.configure(&fleet);
         }
-        let ready = core.view.fleet().is_some() && !core.stopping;
         drop(core);
         match result {
             Ok(Adoption::Adopted) => {
                 info!(revision = offered; "configuration adopted");
                 metrics::gauge!("fulmarhead_revision", "entry" => self.settings.id.clone())
                     .set(revision as f64);
-                self.readiness.set(ready);
                 self.revision.send_replace(revision);
             }
             Ok(_) => {}
@@ -175,10 +168,17 @@
         *self.revision.borrow()
     }
 
-    /// Shows the balancer that the entry ends.
-    pub fn begin_stop(&self) {
+    /// Waits until a configuration is in force.
+    pub(crate) async fn configured(&self) {
+        let mut revision = self.revision.subscribe();
+        if revision.wait_for(|revision| *revision > 0).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
+    /// Records that the entry ends.
+    pub(crate) fn begin_stop(&self) {
         self.core().stopping = true;
-        self.readiness.set(false);
     }
 
     /// Releases leases soon; what a full queue drops expires at the agent.
--- a/entry/src/tree.rs
+++ b/entry/src/tree.rs
@@ -12,7 +12,7 @@
     control::{ControlServer, Handler},
     http::{Server, ServerSettings},
     ops::{self, StateDump},
-    process::Readiness,
+    process::{Process, Readiness, Starting},
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
@@ -53,23 +53,38 @@
     shutdown: CancellationToken,
 ) -> TaskResult {
     let readiness = Readiness::default();
-    let (entry, queue) = Entry::new(settings, clock, readiness.clone());
+    let (entry, queue) = Entry::new(settings, clock);
+    let process = Process::new(readiness.clone());
     let root = root(&entry, queue, listeners, readiness, metrics);
     let stop = CancellationToken::new();
-    let drain = async {
-        shutdown.cancelled().await;
-        entry.begin_stop();
-        // The balancer sends new requests until it has seen that the entry is not ready.
-        sleep(entry.settings.drain_time).await;
-        stop.cancel();
-        pending().await
-    };
     tokio::select! {
         result = root.run(stop.clone()) => result,
-        never = drain => never,
+        never = live(&entry, process, shutdown, &stop) => never,
     }
 }
 
+/// Takes the process through its life cycle; the end of the tree ends it.
+async fn live(
+    entry: &Entry,
+    starting: Process<Starting>,
+    shutdown: CancellationToken,
+    stop: &CancellationToken,
+) -> TaskResult {
+    let draining = tokio::select! {
+        () = entry.configured() => {
+            let serving = starting.serve();
+            shutdown.cancelled().await;
+            serving.drain()
+        }
+        () = shutdown.cancelled() => starting.drain(),
+    };
+    entry.begin_stop();
+    // The balancer sends new requests until it has seen that the entry is not ready.
+    sleep(entry.settings.drain_time).await;
+    draining.stop(stop);
+    pending().await
+}
+
 fn root(
     entry: &Arc<Entry>,
     queue: ReleaseQueue,
--- a/runtime/src/process.rs
+++ b/runtime/src/process.rs
@@ -67,6 +67,11 @@
 }
 
 impl Process<Serving> {
+    /// Shows whether the process can take work at the moment.
+    pub fn set_able(&self, able: bool) {
+        self.readiness.set(able);
+    }
+
     /// Stops to take work.
     pub fn drain(self) -> Process<Draining> {
         self.readiness.set(false);
