--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -4,22 +4,17 @@
 use fulmarhead_runtime::{
     clock::SystemClock,
     process::run_until_terminated,
+    settings::parse,
     telemetry::{init_logs, install_metrics},
 };
 use std::process::ExitCode;
 use tokio_util::sync::CancellationToken;
 
-/// Exit code for invalid settings.
-const INVALID_SETTINGS: u8 = 2;
-
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let settings = match Settings::read(&command().get_matches()) {
+    let settings = match parse(command(), Settings::read) {
         Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return Ok(ExitCode::from(INVALID_SETTINGS));
-        }
+        Err(code) => return Ok(code),
     };
     init_logs(settings.log_level)?;
     let metrics = install_metrics()?;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,20 +1,14 @@
 //! The program `fulmarhead-load`.
 
 use fulmarhead_load::{Settings, command, plot, run, table};
-use fulmarhead_runtime::clock::SystemClock;
+use fulmarhead_runtime::{clock::SystemClock, settings::parse};
 use std::process::ExitCode;
 
-/// Exit code for invalid settings.
-const INVALID_SETTINGS: u8 = 2;
-
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let settings = match Settings::read(&command().get_matches()) {
+    let settings = match parse(command(), Settings::read) {
         Ok(settings) => settings,
-        Err(errors) => {
-            eprintln!("{errors}");
-            return Ok(ExitCode::from(INVALID_SETTINGS));
-        }
+        Err(code) => return Ok(code),
     };
     let report = run(settings.clone(), SystemClock::shared()).await?;
     if settings.json {
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings from flags and environment variables, checked all at once.
 
-use clap::{Arg, ArgMatches};
-use std::{fmt::Display, str::FromStr};
+use clap::{Arg, ArgMatches, Command};
+use std::{fmt::Display, process::ExitCode, str::FromStr};
 
 /// One invalid setting.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -29,6 +29,21 @@
 #[error("{}", .0.iter().map(|error| error.to_string()).collect::<Vec<_>>().join("\n"))]
 pub struct SettingErrors(pub Vec<SettingError>);
 
+/// Exit code of a program whose settings are invalid.
+const INVALID_SETTINGS: u8 = 2;
+
+/// Parses the command line with `read`; prints all errors and returns the exit code if there are
+/// any.
+pub fn parse<T>(
+    command: Command,
+    read: impl FnOnce(&ArgMatches) -> Result<T, SettingErrors>,
+) -> Result<T, ExitCode> {
+    read(&command.get_matches()).map_err(|errors| {
+        eprintln!("{errors}");
+        ExitCode::from(INVALID_SETTINGS)
+    })
+}
+
 /// Reads settings and collects every error.
 #[derive(Debug)]
 pub struct Reader<'a> {
--- a/standins/src/bin/standin-application.rs
+++ b/standins/src/bin/standin-application.rs
@@ -1,7 +1,7 @@
 //! An application worker, or a recorder of effects, as a program.
 
 use clap::{ArgMatches, Command};
-use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
+use fulmarhead_runtime::settings::{Reader, SettingErrors, flag, parse};
 use standins::{
     application::{Application, ApplicationSettings},
     cold::ColdSettings,
@@ -57,7 +57,7 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let (program, settings) = match program::parse(command(), read) {
+    let (program, settings) = match parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
--- a/standins/src/bin/standin-config-service.rs
+++ b/standins/src/bin/standin-config-service.rs
@@ -4,7 +4,7 @@
 use eyre::WrapErr;
 use fulmarhead_runtime::{
     clock::SystemClock,
-    settings::{Reader, SettingErrors, flag},
+    settings::{Reader, SettingErrors, flag, parse},
 };
 use standins::{
     config_service::{ConfigSettings, ConfigStore},
@@ -41,7 +41,7 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let settings = match program::parse(command(), read) {
+    let settings = match parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -1,7 +1,7 @@
 //! A model engine as a program.
 
 use clap::{ArgMatches, Command};
-use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
+use fulmarhead_runtime::settings::{Reader, SettingErrors, flag, parse};
 use standins::{
     cold::ColdSettings,
     engine::{Engine, EngineSettings, draw_weights},
@@ -115,7 +115,7 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let (program, settings) = match program::parse(command(), read) {
+    let (program, settings) = match parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
--- a/standins/src/bin/standin-vm-list.rs
+++ b/standins/src/bin/standin-vm-list.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 use fulmarhead_runtime::{
     clock::SystemClock,
-    settings::{Reader, SettingErrors, flag},
+    settings::{Reader, SettingErrors, flag, parse},
 };
 use standins::{
     program::{self, Program},
@@ -27,7 +27,7 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let (program, lag) = match program::parse(command(), read) {
+    let (program, lag) = match parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
--- a/standins/src/bin/standin-weight-store.rs
+++ b/standins/src/bin/standin-weight-store.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 use fulmarhead_runtime::{
     clock::SystemClock,
-    settings::{Reader, SettingErrors, flag},
+    settings::{Reader, SettingErrors, flag, parse},
 };
 use standins::{
     program::{self, Program},
@@ -31,7 +31,7 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let (program, settings) = match program::parse(command(), read) {
+    let (program, settings) = match parse(command(), read) {
         Ok(parsed) => parsed,
         Err(code) => return Ok(code),
     };
--- a/standins/src/config_service/http.rs
+++ b/standins/src/config_service/http.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{interval, sleep};
 
 /// Time after which a waiting watch counts as one more call.
 const WATCH_COUNTS: Duration = Duration::from_secs(1);
@@ -123,15 +123,16 @@
 /// Waits for a value whose revision is above `after`.
 async fn find(store: &ConfigStore, key: &str, after: Revision) -> Result<Bytes, ServiceError> {
     let mut changes = store.changes();
-    let mut counts = Instant::now() + WATCH_COUNTS;
+    let mut counts = interval(WATCH_COUNTS);
+    counts.reset();
     loop {
         store.check_up()?;
         if let Some(value) = store.newer(key, after) {
             return Ok(value);
         }
-        if timeout_at(counts, changes.changed()).await.is_err() {
-            store.count_call().map_err(ServiceError::Limit)?;
-            counts += WATCH_COUNTS;
+        tokio::select! {
+            _ = changes.changed() => {}
+            _ = counts.tick() => store.count_call().map_err(ServiceError::Limit)?,
         }
     }
 }
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -1,13 +1,13 @@
 //! What the programs of the stand-ins share: flags, logs and the supervisor tree.
 
 use axum::Router;
-use clap::{ArgMatches, Command};
+use clap::Command;
 use eyre::Result;
 use fulmarhead_runtime::{
     clock::SystemClock,
     http::{Server, ServerSettings},
     process::run_until_terminated,
-    settings::{Reader, SettingErrors, flag},
+    settings::{Reader, flag},
     supervisor::Supervisor,
     telemetry::init_logs,
 };
@@ -16,9 +16,6 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-/// Exit code for invalid settings.
-pub const INVALID_SETTINGS: u8 = 2;
-
 /// Longest time for open connections to finish at the end; waiting watches end by then.
 const STOP_BOUND: Duration = Duration::from_secs(5);
 
@@ -70,14 +67,3 @@
     run_until_terminated(root.run(shutdown.clone()), &shutdown).await?;
     Ok(ExitCode::SUCCESS)
 }
-
-/// Parses the command line with `read`; prints all errors if there are any.
-pub fn parse<T>(
-    command: Command,
-    read: impl FnOnce(&ArgMatches) -> Result<T, SettingErrors>,
-) -> Result<T, ExitCode> {
-    read(&command.get_matches()).map_err(|errors| {
-        eprintln!("{errors}");
-        ExitCode::from(INVALID_SETTINGS)
-    })
-}
