entry: say that memory is missing while engines are away, not that a prompt is too long

Cause: a prompt over several engines was refused with prompt_too_long (413), which tells a caller never to try again, when an engine of the model was only restarting. Found by reading. Change: the refusal is no_memory with Retry-After as long as fewer engines report than the configuration has.

No test provokes the case itself.

--- a/entry/src/dispatch/large.rs
+++ b/entry/src/dispatch/large.rs
@@ -7,6 +7,7 @@
 use crate::entry::Entry;
 use fulmarhead_lib::{
     admission::short_memory,
+    config::Target,
     control::LeaseRequest,
     cost::{BYTES_PER_TOKEN, Cost},
     ids::{RequestId, TargetId},
@@ -25,6 +26,9 @@
 /// Time between two renewals of a lease, a third of its period.
 const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time after which engines that are missing now may be back.
+const MISSING_RETRY: Duration = Duration::from_secs(1);
+
 /// Largest answer to a segment, in bytes.
 const MAX_ANSWER: usize = 4_096;
 
@@ -115,14 +119,23 @@
             target: candidate.target,
         })
         .collect();
+    let is_complete = rooms.len() >= configured(call);
     let margin = SHARE_MARGIN * rooms.len() as u64;
     // The last engine holds the answer and the end of the prompt.
     let smallest = request.cost.output + SMALLEST_SEGMENT;
     plan(&rooms, request.cost.kv() + margin, smallest).map_err(|error| match error {
-        PlanError::TooLarge { .. } => Refusal::not_run(Reason::PromptTooLong),
+        PlanError::TooLarge { .. } if is_complete => Refusal::not_run(Reason::PromptTooLong),
+        // The engines that are missing now may come back within the time limit.
+        PlanError::TooLarge { .. } => Refusal::not_run(Reason::NoMemory).after(MISSING_RETRY),
     })
 }
 
+/// Returns how many engines the configuration has for the model of a prompt.
+fn configured(call: &PromptCall) -> usize {
+    let serves = |target: &&Target| target.models.contains(&call.prompt.model);
+    call.fleet.targets.iter().filter(serves).count()
+}
+
 /// Takes the leases one after another in ascending order of target, all or nothing.
 async fn reserve(
     entry: &Arc<Entry>,
