--- /dev/null
+++ b/agent/src/agent.rs
@@ -0,0 +1,244 @@
+//! State of an agent and its decisions under one lock.
+
+use crate::settings::Settings;
+use fulmarhead_lib::{
+    admission::{Admission, AdmissionSettings, CapSettings, Phase},
+    clock::{SharedClock, SteadyWall},
+    config::{Adoption, Bundle, ConfigView, Fleet},
+    control::{Load, Progress, Report},
+    ids::{Incarnation, LeaseId, RequestId, Revision, Tokens},
+    keys::{KeyLedger, KeySettings},
+    lease::{LeaseLedger, LeaseSettings},
+};
+use fulmarhead_runtime::{
+    http::Client,
+    platform::engine::{EngineClient, EngineLoad},
+    process::Readiness,
+    supervisor::Connections,
+};
+use log::{error, info};
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+use tokio::sync::{mpsc, watch};
+use uuid::Uuid;
+
+/// Time without a tick of the monitor after which what the agent believes may be too old.
+const STALE_AFTER: Duration = Duration::from_secs(2);
+
+/// Streams and leases that wait for the engine to drop them.
+const CLEANUP_QUEUE: usize = 4_096;
+
+/// Most calls under a key that run at once.
+const MAX_CALLS: usize = 1_024;
+
+/// Something that the engine holds and nobody needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cleanup {
+    /// A stream whose reader is gone.
+    Stream(RequestId),
+    /// The memory of a lease that has ended.
+    Lease(LeaseId),
+}
+
+/// An agent.
+pub struct Agent {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Life of this agent.
+    pub incarnation: Incarnation,
+    pub(crate) clock: SharedClock,
+    pub(crate) client: Client,
+    pub(crate) engine: EngineClient,
+    pub(crate) readiness: Readiness,
+    pub(crate) settled: watch::Sender<u64>,
+    pub(crate) cleanups: mpsc::Sender<Cleanup>,
+    calls: Connections,
+    core: Mutex<Core>,
+}
+
+/// What the decisions of an agent work on.
+pub(crate) struct Core {
+    pub(crate) view: ConfigView,
+    pub(crate) admission: Admission,
+    pub(crate) keys: KeyLedger,
+    pub(crate) leases: LeaseLedger,
+    pub(crate) load: EngineLoad,
+    /// Whether the target was read since the start of the agent or its last long pause.
+    pub(crate) seen: bool,
+    /// Whether the process ends.
+    pub(crate) stopping: bool,
+    /// Last tick of the monitor.
+    pub(crate) ticked: Instant,
+    /// Last time an entry compared revisions with this agent.
+    pub(crate) heard: Option<Instant>,
+}
+
+impl Agent {
+    /// Returns an agent that starts, and the queue of its cleanups.
+    pub fn new(
+        settings: Settings,
+        clock: SharedClock,
+        readiness: Readiness,
+    ) -> (Arc<Self>, CleanupQueue) {
+        let now = clock.now();
+        let incarnation = Uuid::new_v4().as_u64_pair().0;
+        let wall = SteadyWall::new(&*clock);
+        let cap = CapSettings {
+            cold: settings.cold_cap,
+            warm: settings.warm_cap,
+            ..CapSettings::default()
+        };
+        let admission = AdmissionSettings { cap, ..AdmissionSettings::default() };
+        let target = settings.target.clone();
+        let core = Core {
+            view: ConfigView::default(),
+            admission: Admission::new(admission, now),
+            keys: KeyLedger::new(target, incarnation, KeySettings::default(), wall),
+            leases: LeaseLedger::new(LeaseSettings::default(), 0),
+            load: EngineLoad::default(),
+            seen: false,
+            stopping: false,
+            ticked: now,
+            heard: None,
+        };
+        let client = Client::default();
+        let (cleanups, queue) = mpsc::channel(CLEANUP_QUEUE);
+        let agent = Self {
+            incarnation,
+            clock,
+            engine: EngineClient::new(settings.target_address, client.clone()),
+            client,
+            readiness,
+            settled: watch::Sender::new(0),
+            cleanups,
+            calls: Connections::new(MAX_CALLS),
+            core: Mutex::new(core),
+            settings,
+        };
+        (Arc::new(agent), CleanupQueue(Arc::new(tokio::sync::Mutex::new(queue))))
+    }
+
+    /// Locks the state; never held across an await.
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the state with the phase as of now.
+    pub(crate) fn current(&self) -> MutexGuard<'_, Core> {
+        let mut core = self.core();
+        let phase = core.phase(&self.settings.target, self.clock.now());
+        core.admission.set_phase(phase);
+        core
+    }
+
+    /// Puts a configuration in force if it is valid and newer.
+    pub fn adopt(&self, bundle: Bundle) -> Revision {
+        let mut core = self.core();
+        let offered = bundle.revision;
+        match core.view.offer(bundle) {
+            Ok(Adoption::Adopted) => info!(revision = offered; "configuration adopted"),
+            Ok(_) => {}
+            Err(error) => error!(revision = offered, error:%; "configuration refused"),
+        }
+        core.view.revision()
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.core().view.revision()
+    }
+
+    /// Stops to take new work.
+    pub fn begin_stop(&self) {
+        self.core().stopping = true;
+        self.readiness.set(false);
+    }
+
+    /// Returns the state for entries.
+    pub fn report(&self) -> Report {
+        let core = self.current();
+        let fleet = core.view.fleet();
+        let own = fleet.as_ref().and_then(|fleet| fleet.target(&self.settings.target));
+        Report {
+            target: self.settings.target.clone(),
+            incarnation: self.incarnation,
+            revision: core.view.revision(),
+            phase: core.admission.phase(),
+            models: core.load.models.iter().map(|loaded| loaded.model.clone()).collect(),
+            application: own.and_then(|target| target.application.clone()),
+            load: core.load_report(),
+            progress: Progress {
+                serving: core.admission.phase() == Phase::Serving,
+                ..Progress::default()
+            },
+        }
+    }
+
+    /// Runs a call under its key in a task that outlives the connection of its entry.
+    pub(crate) fn spawn_call(&self, call: impl Future<Output = ()> + Send + 'static) {
+        let calls = self.calls.clone();
+        self.calls.spawn_unlimited(async move {
+            let slot = calls.slot().await;
+            call.await;
+            drop(slot);
+        });
+    }
+
+    /// Waits for the calls that run under a key.
+    pub(crate) async fn finish_calls(&self) {
+        self.calls.finish().await;
+    }
+
+    /// Tells the waiting connections that a key was settled.
+    pub(crate) fn settle(&self) {
+        self.settled.send_modify(|count| *count += 1);
+    }
+
+    /// Asks the engine to drop something; a full queue leaves it to the engine's own limits.
+    pub(crate) fn clean_up(&self, cleanup: Cleanup) {
+        let _ = self.cleanups.try_send(cleanup);
+    }
+}
+
+impl Core {
+    /// Returns the memory that no lease holds; unlimited for applications.
+    pub(crate) fn unleased(&self) -> Tokens {
+        if self.load.kv_total == 0 { Tokens::MAX } else { self.leases.free() }
+    }
+
+    fn phase(&self, target: &str, now: Instant) -> Phase {
+        if self.stopping {
+            return Phase::Draining;
+        }
+        // After a long pause nothing that the agent believes is current until it was refreshed.
+        if !self.seen || now.saturating_duration_since(self.ticked) > STALE_AFTER {
+            return Phase::Starting;
+        }
+        match self.view.fleet() {
+            None => Phase::Starting,
+            Some(fleet) if serves(&fleet, target) => Phase::Serving,
+            Some(_) => Phase::OutOfService,
+        }
+    }
+
+    fn load_report(&self) -> Load {
+        Load {
+            running: self.admission.running(),
+            cap: self.admission.limit(),
+            prefill: self.admission.prefill(),
+            kv_used: self.leases.used() + self.admission.memory(),
+            kv_total: self.load.kv_total,
+            prefill_rate: self.load.prefill_rate,
+        }
+    }
+}
+
+/// The queue of cleanups, for the task that works it off.
+#[derive(Clone)]
+pub struct CleanupQueue(pub(crate) Arc<tokio::sync::Mutex<mpsc::Receiver<Cleanup>>>);
+
+fn serves(fleet: &Fleet, id: &str) -> bool {
+    fleet.target(id).is_some_and(|target| fleet.in_service(target))
+}
--- /dev/null
+++ b/agent/src/control/mod.rs
@@ -0,0 +1,56 @@
+//! Answers to control messages.
+
+use crate::agent::{Agent, Cleanup};
+use fulmarhead_lib::{
+    config::Bundle,
+    control::{LeaseReply, LeaseRequest, Report, SyncReply},
+    ids::{LeaseId, Revision},
+};
+use fulmarhead_runtime::control::Handler;
+use log::info;
+
+impl Handler for Agent {
+    fn sync(&self, revision: Revision) -> SyncReply {
+        let mut core = self.core();
+        core.heard = Some(self.clock.now());
+        let own = core.view.revision();
+        match core.view.bundle() {
+            Some(bundle) if own > revision => SyncReply::Newer(bundle),
+            _ if own < revision => SyncReply::Behind(own),
+            _ => SyncReply::Current,
+        }
+    }
+
+    fn adopt(&self, bundle: Bundle) -> Revision {
+        Agent::adopt(self, bundle)
+    }
+
+    fn report(&self) -> Option<Report> {
+        Some(Agent::report(self))
+    }
+
+    fn reserve(&self, lease: LeaseId, request: LeaseRequest) -> LeaseReply {
+        let mut core = self.current();
+        core.admission.check_phase()?;
+        let in_use = core.admission.memory();
+        let now = self.clock.now();
+        let reply = core.leases.reserve(request.request, lease, request.tokens, in_use, now);
+        drop(core);
+        let granted = reply.is_ok();
+        info!(
+            target: "decision", request:% = request.request, lease:%, tokens = request.tokens, granted;
+            "lease asked for"
+        );
+        reply
+    }
+
+    fn renew(&self, lease: LeaseId) -> LeaseReply {
+        self.core().leases.renew(lease, self.clock.now())
+    }
+
+    fn release(&self, lease: LeaseId) -> bool {
+        let known = self.core().leases.release(lease);
+        self.clean_up(Cleanup::Lease(lease));
+        known
+    }
+}
--- /dev/null
+++ b/agent/src/dump.rs
@@ -0,0 +1,24 @@
+//! The state dump of an agent.
+
+use crate::agent::Agent;
+use fulmarhead_runtime::ops::StateDump;
+use serde_json::{Value, json};
+
+impl StateDump for Agent {
+    fn dump(&self) -> Value {
+        let report = self.report();
+        let core = self.core();
+        json!({
+            "process": "agent",
+            "target": self.settings.target,
+            "kind": self.settings.kind,
+            "incarnation": format!("{:016x}", self.incarnation),
+            "revision": core.view.revision(),
+            "config_error": core.view.last_error().map(ToString::to_string),
+            "report": report,
+            "keys": core.keys.len(),
+            "leases": core.leases.len(),
+            "leased_tokens": core.leases.used(),
+        })
+    }
+}
--- /dev/null
+++ b/agent/src/settings.rs
@@ -0,0 +1,101 @@
+//! Settings of an agent.
+
+use clap::Command;
+use fulmarhead_lib::{config::Kind, ids::TargetId};
+use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
+use log::LevelFilter;
+use std::{net::SocketAddr, time::Duration};
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Target beside the agent.
+    pub target: TargetId,
+    /// What the target is.
+    pub kind: Kind,
+    /// Address of the target.
+    pub target_address: SocketAddr,
+    /// Address for work from entries.
+    pub work: SocketAddr,
+    /// Address for control messages.
+    pub control: SocketAddr,
+    /// Address for operators.
+    pub ops: SocketAddr,
+    /// Configuration service, read once at the start.
+    pub service: Option<SocketAddr>,
+    /// Control addresses of entries to ask for the configuration.
+    pub seeds: Vec<SocketAddr>,
+    /// Concurrent requests of a cold target.
+    pub cold_cap: u32,
+    /// Concurrent requests of a warm target.
+    pub warm_cap: u32,
+    /// Longest time for work to finish after a signal to stop.
+    pub stop_bound: Duration,
+    /// Least severe log records that are written.
+    pub log_level: LevelFilter,
+}
+
+/// Returns the command line of an agent.
+pub fn command() -> Command {
+    Command::new("fulmarhead-agent")
+        .version(clap::crate_version!())
+        .about("Runs beside a target and admits, limits and explains all its work")
+        .arg(flag("target", "FULMARHEAD_TARGET", "Name of the target in the configuration"))
+        .arg(flag("kind", "FULMARHEAD_KIND", "engine or application").default_value("engine"))
+        .arg(flag("target-address", "FULMARHEAD_TARGET_ADDRESS", "Address of the target"))
+        .arg(flag("work", "FULMARHEAD_WORK", "Address for work from entries"))
+        .arg(flag("control", "FULMARHEAD_CONTROL", "Address for control messages"))
+        .arg(flag("ops", "FULMARHEAD_OPS", "Address for operators"))
+        .arg(flag("service", "FULMARHEAD_SERVICE", "Configuration service, read at the start"))
+        .arg(flag("seeds", "FULMARHEAD_SEEDS", "Control addresses of entries, with commas"))
+        .arg(
+            flag("cold-cap", "FULMARHEAD_COLD_CAP", "Requests of a cold target").default_value("2"),
+        )
+        .arg(
+            flag("warm-cap", "FULMARHEAD_WARM_CAP", "Requests of a warm target")
+                .default_value("64"),
+        )
+        .arg(
+            flag("stop-seconds", "FULMARHEAD_STOP_SECONDS", "Time for work to finish at the end")
+                .default_value("30"),
+        )
+        .arg(
+            flag("log-level", "FULMARHEAD_LOG_LEVEL", "off, error, warn, info, debug or trace")
+                .default_value("info"),
+        )
+}
+
+impl Settings {
+    /// Reads the settings from the parsed command line.
+    pub fn read(matches: &clap::ArgMatches) -> Result<Self, SettingErrors> {
+        let mut reader = Reader::new(matches);
+        let target = reader.required("target");
+        let kind = reader.required("kind");
+        let target_address = reader.required("target-address");
+        let work = reader.required("work");
+        let control = reader.required("control");
+        let ops = reader.required("ops");
+        let service = reader.optional("service");
+        let seeds = reader.list("seeds");
+        let cold_cap = reader.required("cold-cap");
+        let warm_cap = reader.required("warm-cap");
+        let stop_seconds = reader.required("stop-seconds");
+        let log_level = reader.required("log-level");
+        reader.finish_with(|| {
+            Some(Self {
+                target: target?,
+                kind: kind?,
+                target_address: target_address?,
+                work: work?,
+                control: control?,
+                ops: ops?,
+                service,
+                seeds,
+                cold_cap: cold_cap?,
+                warm_cap: warm_cap?,
+                stop_bound: Duration::from_secs(stop_seconds?),
+                log_level: log_level?,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/agent/src/target/mod.rs
@@ -0,0 +1,7 @@
+//! Tasks that watch the target and clean up behind its work.
+
+mod cleanup;
+mod leases;
+mod monitor;
+
+pub(crate) use self::{cleanup::clean_up, leases::expire_leases, monitor::monitor};
--- /dev/null
+++ b/agent/src/target/monitor.rs
@@ -0,0 +1,118 @@
+//! Reads the target's load and notices restarts and long pauses.
+
+use crate::agent::Agent;
+use fulmarhead_lib::config::Kind;
+use fulmarhead_runtime::{
+    http::{ClientError, Endpoint},
+    platform::engine::EngineLoad,
+    supervisor::TaskResult,
+};
+use log::{info, warn};
+use serde::Deserialize;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two readings of the target.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Gap between two ticks that shows that the process was paused.
+const PAUSED_AFTER: Duration = Duration::from_secs(2);
+
+/// Longest time for one reading.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Deserialize)]
+struct ApplicationLoad {
+    restarts: u64,
+}
+
+/// Reads the target until `stop` is cancelled.
+pub(crate) async fn monitor(agent: Arc<Agent>, stop: CancellationToken) -> TaskResult {
+    let mut ticks = interval_at(Instant::now(), INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return Ok(()),
+            _ = ticks.tick() => {}
+        }
+        tick(&agent);
+        match read(&agent).await {
+            Ok(load) => observe(&agent, load).await,
+            Err(error) => lose(&agent, &error),
+        }
+    }
+}
+
+/// Records that the process runs; after a long pause the target counts as not read.
+fn tick(agent: &Agent) {
+    let now = agent.clock.now();
+    let mut core = agent.core();
+    let gap = now.saturating_duration_since(core.ticked);
+    core.ticked = now;
+    if gap > PAUSED_AFTER {
+        core.seen = false;
+        core.heard = None;
+        drop(core);
+        warn!(gap_ms = gap.as_millis() as u64; "process was paused; reading everything again");
+    }
+}
+
+async fn read(agent: &Agent) -> Result<EngineLoad, ClientError> {
+    match agent.settings.kind {
+        Kind::Engine => agent.engine.load().await,
+        Kind::Application => {
+            let endpoint = Endpoint::new(agent.settings.target_address, "/load");
+            let load: ApplicationLoad = agent.client.get_json(&endpoint, READ_TIMEOUT).await?;
+            Ok(EngineLoad { restarts: load.restarts, ..EngineLoad::default() })
+        }
+    }
+}
+
+async fn observe(agent: &Agent, load: EngineLoad) {
+    let first = !agent.core().seen;
+    if first && agent.settings.kind == Kind::Engine && !rebuild_leases(agent).await {
+        return;
+    }
+    let now = agent.clock.now();
+    let mut core = agent.core();
+    let restarted = core.seen && core.load.restarts != load.restarts;
+    if restarted {
+        core.admission.turned_cold(now);
+    }
+    core.leases.set_total(load.kv_total);
+    core.load = load;
+    core.seen = true;
+    let serving = core.view.fleet().is_some() && !core.stopping;
+    drop(core);
+    agent.readiness.set(serving);
+    if restarted {
+        warn!("target restarted; admitting as for a cold one");
+    }
+    if first {
+        info!("target read");
+    }
+}
+
+/// Takes over the memory that leases of an earlier life hold.
+async fn rebuild_leases(agent: &Agent) -> bool {
+    match agent.engine.allocations().await {
+        Ok(allocations) => {
+            agent.core().leases.rebuild(&allocations, agent.clock.now());
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+fn lose(agent: &Agent, error: &ClientError) {
+    let mut core = agent.core();
+    let lost = core.seen;
+    core.seen = false;
+    core.admission.turned_cold(agent.clock.now());
+    drop(core);
+    agent.readiness.set(false);
+    if lost {
+        warn!(error:%; "target can't be read");
+    }
+}
--- /dev/null
+++ b/agent/src/tree.rs
@@ -0,0 +1,127 @@
+//! The supervisor tree of an agent.
+
+use crate::{
+    agent::{Agent, CleanupQueue},
+    seeds::{ask_seed, read_service},
+    settings::Settings,
+    target::{clean_up, expire_leases, monitor},
+    work,
+};
+use fulmarhead_lib::{clock::SharedClock, config::Kind};
+use fulmarhead_runtime::{
+    control::{ControlServer, Handler},
+    http::{Server, ServerSettings},
+    ops::{self, StateDump},
+    process::Readiness,
+    supervisor::{Supervisor, TaskResult},
+    telemetry::MetricsHandle,
+};
+use std::{io, sync::Arc};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// The bound listeners of an agent.
+///
+/// Binding them is exclusive, so that a second agent at the same target fails to start.
+#[derive(Clone, Debug)]
+pub struct Listeners {
+    work: Arc<TcpListener>,
+    control: Arc<TcpListener>,
+    ops: Arc<TcpListener>,
+}
+
+impl Listeners {
+    /// Takes listeners that are bound already.
+    pub fn from_bound(work: TcpListener, control: TcpListener, ops: TcpListener) -> Self {
+        Self { work: Arc::new(work), control: Arc::new(control), ops: Arc::new(ops) }
+    }
+
+    /// Binds the addresses of `settings`.
+    pub async fn bind(settings: &Settings) -> io::Result<Self> {
+        Ok(Self::from_bound(
+            TcpListener::bind(settings.work).await?,
+            TcpListener::bind(settings.control).await?,
+            TcpListener::bind(settings.ops).await?,
+        ))
+    }
+}
+
+/// Runs an agent until `shutdown` is cancelled and its work is finished.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    clock: SharedClock,
+    metrics: Option<MetricsHandle>,
+    shutdown: CancellationToken,
+) -> TaskResult {
+    let readiness = Readiness::default();
+    let (agent, queue) = Agent::new(settings, Arc::clone(&clock), readiness.clone());
+    let watched = Arc::clone(&agent);
+    let on_shutdown = shutdown.clone();
+    let announce = async move {
+        on_shutdown.cancelled().await;
+        watched.begin_stop();
+    };
+    let root = root(&agent, queue, listeners, readiness, metrics);
+    let result = tokio::select! {
+        result = root.run(shutdown) => result,
+        never = async { announce.await; std::future::pending().await } => never,
+    };
+    agent.finish_calls().await;
+    result
+}
+
+fn root(
+    agent: &Arc<Agent>,
+    queue: CleanupQueue,
+    listeners: Listeners,
+    readiness: Readiness,
+    metrics: Option<MetricsHandle>,
+) -> Supervisor {
+    let name = format!("agent {}", agent.settings.target);
+    let mut root =
+        Supervisor::new(name, Arc::clone(&agent.clock)).stop_bound(agent.settings.stop_bound);
+
+    let state: Arc<dyn StateDump> = Arc::clone(agent) as Arc<dyn StateDump>;
+    root = root.permanent("operators", move |stop| {
+        let router = ops::router(readiness.clone(), metrics.clone(), Arc::clone(&state));
+        Server::new(Arc::clone(&listeners.ops), router, ServerSettings::default()).run(stop)
+    });
+    let handler: Arc<dyn Handler> = Arc::clone(agent) as Arc<dyn Handler>;
+    root = root.permanent("control", move |stop| {
+        ControlServer::new(Arc::clone(&listeners.control)).run(Arc::clone(&handler), stop)
+    });
+    root = seeds(root, agent);
+    root = target(root, agent, queue);
+    let agent = Arc::clone(agent);
+    root.permanent("work", move |stop| {
+        let router = work::router(&agent);
+        Server::new(Arc::clone(&listeners.work), router, ServerSettings::default()).run(stop)
+    })
+}
+
+fn seeds(mut root: Supervisor, agent: &Arc<Agent>) -> Supervisor {
+    if let Some(address) = agent.settings.service {
+        let agent = Arc::clone(agent);
+        root =
+            root.permanent("service", move |stop| read_service(Arc::clone(&agent), address, stop));
+    }
+    for &seed in &agent.settings.seeds {
+        let agent = Arc::clone(agent);
+        let name = format!("seed {seed}");
+        root = root.permanent(name, move |stop| ask_seed(Arc::clone(&agent), seed, stop));
+    }
+    root
+}
+
+fn target(root: Supervisor, agent: &Arc<Agent>, queue: CleanupQueue) -> Supervisor {
+    let monitored = Arc::clone(agent);
+    let root = root.permanent("monitor", move |stop| monitor(Arc::clone(&monitored), stop));
+    if agent.settings.kind == Kind::Application {
+        return root;
+    }
+    let cleaned = Arc::clone(agent);
+    let swept = Arc::clone(agent);
+    root.permanent("cleanup", move |stop| clean_up(Arc::clone(&cleaned), queue.clone(), stop))
+        .permanent("leases", move |stop| expire_leases(Arc::clone(&swept), stop))
+}
--- /dev/null
+++ b/agent/src/work/body.rs
@@ -0,0 +1,111 @@
+//! Answers of the engine on their way to the entry, with the permit of their attempt.
+
+use crate::agent::{Agent, Cleanup};
+use axum::body::Body;
+use bytes::Bytes;
+use fulmarhead_lib::{
+    ids::{AttemptNumber, RequestId},
+    request::Deadline,
+};
+use futures::{Stream, stream};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use log::info;
+use std::{io, sync::Arc, time::Instant};
+use tokio::time::timeout_at;
+
+/// Room for one attempt at the target, given back when it is dropped.
+pub(crate) struct Permit {
+    agent: Arc<Agent>,
+    request: RequestId,
+    attempt: AttemptNumber,
+    admitted: Instant,
+    end: End,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The reader went away.
+    Abandoned,
+    /// The target answered.
+    Finished,
+    /// The target failed.
+    Failed,
+}
+
+impl Permit {
+    /// Returns the permit of an attempt that was just admitted.
+    pub(crate) fn new(agent: Arc<Agent>, request: RequestId, attempt: AttemptNumber) -> Self {
+        let admitted = agent.clock.now();
+        Self { agent, request, attempt, admitted, end: End::Abandoned }
+    }
+
+    /// Records that the target answered.
+    pub(crate) fn finish(&mut self) {
+        self.end = End::Finished;
+    }
+
+    /// Records that the target failed.
+    pub(crate) fn fail(&mut self) {
+        self.end = End::Failed;
+    }
+
+    fn first_token(&self) {
+        self.agent.core().admission.first_token(self.request, self.attempt);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.agent.clock.now();
+        let mut core = self.agent.core();
+        core.admission.end(self.request, self.attempt, self.end == End::Finished, now);
+        if self.end == End::Failed {
+            core.admission.turned_cold(now);
+        }
+        drop(core);
+        if self.end == End::Abandoned {
+            self.agent.clean_up(Cleanup::Stream(self.request));
+        }
+        let (request, attempt) = (self.request, self.attempt);
+        let took = now.saturating_duration_since(self.admitted).as_millis() as u64;
+        info!(target: "decision", request:%, attempt, took_ms = took, end:? = self.end; "attempt ended");
+    }
+}
+
+/// Returns the body that passes `answer` on until its end or the deadline.
+pub(crate) fn forward(answer: Incoming, permit: Permit, deadline: Deadline) -> Body {
+    Body::from_stream(frames(answer, permit, deadline))
+}
+
+fn frames(
+    answer: Incoming,
+    permit: Permit,
+    deadline: Deadline,
+) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
+    stream::unfold(Some((answer, permit)), move |state| async move {
+        let (mut answer, mut permit) = state?;
+        loop {
+            let frame = timeout_at(deadline.instant().into(), answer.frame()).await;
+            return match frame {
+                Err(_) => Some((Err(io::ErrorKind::TimedOut.into()), None)),
+                Ok(None) => {
+                    permit.finish();
+                    None
+                }
+                Ok(Some(Err(error))) => {
+                    permit.fail();
+                    Some((Err(io::Error::other(error)), None))
+                }
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => {
+                        permit.first_token();
+                        Some((Ok(data), Some((answer, permit))))
+                    }
+                    Err(_) => continue,
+                },
+            };
+        }
+    })
+}
--- /dev/null
+++ b/agent/src/work/completions.rs
@@ -0,0 +1,118 @@
+//! Completions by the engine.
+
+use super::{
+    body::{Permit, forward},
+    refuse::{Refused, log_refusal},
+};
+use crate::agent::Agent;
+use axum::{
+    body::{Body, Bytes},
+    extract::State,
+    http::{HeaderMap, Method, StatusCode, header::CONTENT_TYPE},
+    response::Response,
+};
+use fulmarhead_lib::{
+    admission::Work,
+    cost::Cost,
+    outcome::{Reason, Refusal},
+    request::Deadline,
+};
+use fulmarhead_runtime::{http::Endpoint, work::WorkHeaders};
+use log::info;
+use std::sync::Arc;
+use tokio::time::timeout_at;
+
+/// Answers `POST /work/completions`.
+pub(crate) async fn complete(
+    State(agent): State<Arc<Agent>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, Refused> {
+    let work = WorkHeaders::from_headers(&headers)?;
+    let deadline = Deadline::after(agent.clock.now(), work.remaining);
+    let permit = admit(&agent, &work)?;
+    let endpoint = Endpoint::new(agent.settings.target_address, "/v1/completions");
+    run(&agent, &work, permit, &endpoint, body, deadline).await
+}
+
+/// Admits an attempt; memory that a lease holds is not asked for again.
+pub(super) fn admit(agent: &Arc<Agent>, work: &WorkHeaders) -> Result<Permit, Refusal> {
+    let now = agent.clock.now();
+    let mut core = agent.current();
+    let unleased = core.unleased();
+    let (cost, unleased) = match work.lease {
+        Some(lease) if core.leases.tokens(lease, now).is_none() => {
+            return Err(Refusal::not_run(Reason::LeaseExpired));
+        }
+        Some(_) => (Cost { output: 0, ..work.cost }, u64::MAX),
+        None => (work.cost, unleased),
+    };
+    let asked = Work { request: work.request, cost, remaining: work.remaining };
+    let result = core.admission.admit(asked, work.attempt, unleased);
+    let (running, cap) = (core.admission.running(), core.admission.limit());
+    let revision = core.view.revision();
+    drop(core);
+    let (request, attempt) = (work.request, work.attempt);
+    match result {
+        Ok(()) => {
+            info!(target: "decision", request:%, attempt, running, cap, revision; "attempt admitted");
+            Ok(Permit::new(Arc::clone(agent), request, attempt))
+        }
+        Err(refusal) => {
+            log_refusal(request, attempt, &refusal);
+            Err(refusal)
+        }
+    }
+}
+
+/// Sends an admitted attempt to the engine and passes the answer on.
+pub(super) async fn run(
+    agent: &Arc<Agent>,
+    work: &WorkHeaders,
+    mut permit: Permit,
+    endpoint: &Endpoint,
+    body: Bytes,
+    deadline: Deadline,
+) -> Result<Response, Refused> {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, axum::http::HeaderValue::from_static("application/json"));
+    let call = agent.client.send(Method::POST, endpoint, headers, body);
+    let answer = match timeout_at(deadline.instant().into(), call).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => {
+            permit.fail();
+            let refusal = match error.is_unsent() {
+                true => Refusal::not_run(Reason::TargetFailed),
+                false => Refusal::failed(Reason::TargetFailed),
+            };
+            log_refusal(work.request, work.attempt, &refusal);
+            return Err(refusal.into());
+        }
+        Err(_) => return Err(Refusal::failed(Reason::DeadlineExceeded).into()),
+    };
+    if let Some(refusal) = refusal_of(answer.status()) {
+        if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+            permit.fail();
+        }
+        log_refusal(work.request, work.attempt, &refusal);
+        return Err(refusal.into());
+    }
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = answer.status();
+    if let Some(media_type) = answer.headers().get(CONTENT_TYPE) {
+        response.headers_mut().insert(CONTENT_TYPE, media_type.clone());
+    }
+    *response.body_mut() = forward(answer.into_body(), permit, deadline);
+    Ok(response)
+}
+
+fn refusal_of(status: StatusCode) -> Option<Refusal> {
+    let reason = match status {
+        StatusCode::SERVICE_UNAVAILABLE => Reason::Overloaded,
+        StatusCode::INSUFFICIENT_STORAGE => Reason::NoMemory,
+        StatusCode::NOT_FOUND => Reason::OutOfService,
+        status if status.is_success() => return None,
+        _ => Reason::TargetFailed,
+    };
+    Some(Refusal::not_run(reason))
+}
--- /dev/null
+++ b/entry/src/callers/completions.rs
@@ -0,0 +1,199 @@
+//! Completions, streamed or whole.
+
+use super::{
+    body,
+    caller::Caller,
+    format::{Header, Style, parse},
+    problem::Problem,
+};
+use crate::{
+    dispatch::{Answer, Prompt, PromptCall},
+    entry::Entry,
+};
+use axum::{
+    Json,
+    body::Body,
+    extract::State,
+    http::HeaderMap,
+    response::{IntoResponse, Response, Sse, sse::Event},
+};
+use fulmarhead_lib::{
+    cost::Cost,
+    ids::{Position, RequestId},
+    outcome::{Reason, Refusal},
+    request::{Admitted, Request, StreamItem},
+};
+use futures::{Stream, stream};
+use log::info;
+use std::{convert::Infallible, sync::Arc};
+
+/// Answers `POST /v1/completions`.
+pub(crate) async fn complete(
+    State(entry): State<Arc<Entry>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    answer(entry, Style::Text, headers, body).await
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn chat(
+    State(entry): State<Arc<Entry>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    answer(entry, Style::Chat, headers, body).await
+}
+
+async fn answer(entry: Arc<Entry>, style: Style, headers: HeaderMap, body: Body) -> Response {
+    let request = RequestId::now_v7();
+    match start(&entry, style, request, &headers, body).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            info!(
+                target: "decision", request:%,
+                reason:% = refusal.reason, outcome:% = refusal.outcome;
+                "request refused"
+            );
+            Problem { request, refusal }.into_response()
+        }
+    }
+}
+
+/// Reads, admits and dispatches a request; returns once its first item is here.
+async fn start(
+    entry: &Arc<Entry>,
+    style: Style,
+    id: RequestId,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let caller = Caller::identify(entry, headers)?;
+    let position = last_event(headers)?;
+    let body = body::read(body, caller.fleet.bounds.max_body).await?;
+    let (prompt, streamed) = parse(style, &body)?;
+    let cost = check(&caller, &prompt)?;
+    let request = admit(entry, &caller, id, cost, position)?;
+    let header =
+        Header { style, request: id, created: entry.clock.wall(), model: prompt.model.clone() };
+    let call = PromptCall { prompt, priority: caller.team.priority, fleet: caller.fleet };
+    let mut answer = Answer::new(Arc::clone(entry), request, call);
+    let first = answer.next().await?;
+    if streamed {
+        return Ok(Sse::new(events(answer, header, first)).into_response());
+    }
+    whole(answer, header, first, cost).await
+}
+
+/// Returns the position after the last event that the caller has seen.
+fn last_event(headers: &HeaderMap) -> Result<Position, Refusal> {
+    let Some(value) = headers.get("last-event-id") else { return Ok(0) };
+    let seen = value.to_str().ok().and_then(|text| text.parse::<Position>().ok());
+    let next = seen.and_then(|seen| seen.checked_add(1));
+    next.ok_or(Refusal::not_run(Reason::MalformedRequest))
+}
+
+fn check(caller: &Caller, prompt: &Prompt) -> Result<Cost, Refusal> {
+    let model = caller.fleet.models.iter().find(|model| model.id == prompt.model);
+    let model = model.ok_or(Refusal::not_run(Reason::UnknownModel))?;
+    if !caller.team.models.contains(&model.id) {
+        return Err(Refusal::not_run(Reason::ModelNotAllowed));
+    }
+    let cost = Cost::estimate(prompt.text.len(), prompt.max_tokens);
+    if prompt.max_tokens > model.max_tokens || cost.kv() > model.max_tokens {
+        return Err(Refusal::not_run(Reason::PromptTooLong));
+    }
+    Ok(cost)
+}
+
+fn admit(
+    entry: &Entry,
+    caller: &Caller,
+    id: RequestId,
+    cost: Cost,
+    position: Position,
+) -> Result<Request<Admitted>, Refusal> {
+    let mut core = entry.core();
+    core.teams.take(&caller.team.id, caller.budget(), cost, entry.clock.now())?;
+    core.retries.deposit();
+    let revision = core.view.revision();
+    drop(core);
+    info!(
+        target: "decision", request:% = id, team = caller.team.id,
+        prompt_tokens = cost.prompt, output_tokens = cost.output, revision;
+        "request admitted"
+    );
+    let request = Request::new(id, caller.team.id.clone(), cost, caller.deadline);
+    Ok(request.admit(position, true))
+}
+
+/// Collects the whole answer.
+async fn whole(
+    mut answer: Answer,
+    header: Header,
+    first: StreamItem,
+    cost: Cost,
+) -> Result<Response, Refusal> {
+    let mut text = String::new();
+    let mut item = first;
+    loop {
+        match item {
+            StreamItem::Token { text: token, .. } => text.push_str(&token),
+            StreamItem::End { length, finish } => {
+                let document = header.whole(&text, &finish, cost.prompt, length);
+                return Ok(Json(document).into_response());
+            }
+        }
+        item = answer.next().await?;
+    }
+}
+
+/// Returns the events of a streamed answer.
+fn events(
+    answer: Answer,
+    header: Header,
+    first: StreamItem,
+) -> impl Stream<Item = Result<Event, Infallible>> + Send {
+    stream::unfold(Next::Item(Box::new((answer, header, first))), |next| async move {
+        match next {
+            Next::Item(state) => {
+                let (mut answer, header, item) = *state;
+                let event = event(&header, &item);
+                let next = match item {
+                    StreamItem::End { .. } => Next::Done,
+                    StreamItem::Token { .. } => match answer.next().await {
+                        Ok(item) => Next::Item(Box::new((answer, header, item))),
+                        Err(refusal) => Next::Failed(Problem { request: header.request, refusal }),
+                    },
+                };
+                Some((Ok(event), next))
+            }
+            Next::Done => Some((Ok(Event::default().data("[DONE]")), Next::Over)),
+            Next::Failed(problem) => {
+                let data = problem.document().to_string();
+                Some((Ok(Event::default().event("error").data(data)), Next::Over))
+            }
+            Next::Over => None,
+        }
+    })
+}
+
+enum Next {
+    Item(Box<(Answer, Header, StreamItem)>),
+    Failed(Problem),
+    Done,
+    Over,
+}
+
+fn event(header: &Header, item: &StreamItem) -> Event {
+    match item {
+        StreamItem::Token { position, text } => {
+            let data = header.chunk(text, None).to_string();
+            Event::default().id(position.to_string()).data(data)
+        }
+        StreamItem::End { length, finish } => {
+            let data = header.chunk("", Some(finish)).to_string();
+            Event::default().id(length.to_string()).data(data)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/callers/keys.rs
@@ -0,0 +1,52 @@
+//! Issue of idempotency keys.
+
+use super::{caller::Caller, problem::Problem};
+use crate::entry::Entry;
+use axum::{
+    Json,
+    extract::{Path, State},
+    http::{HeaderMap, StatusCode},
+};
+use fulmarhead_lib::{
+    cost::Cost,
+    ids::{ApplicationId, RequestId},
+    keys::IdempotencyKey,
+    outcome::{Reason, Refusal},
+};
+use log::info;
+use serde_json::{Value, json};
+use std::{collections::BTreeSet, sync::Arc};
+
+/// Answers `POST /apps/{application}/keys`.
+pub(crate) async fn issue(
+    State(entry): State<Arc<Entry>>,
+    Path(application): Path<ApplicationId>,
+    headers: HeaderMap,
+) -> Result<(StatusCode, Json<Value>), Problem> {
+    let request = RequestId::now_v7();
+    let key =
+        choose(&entry, &application, &headers).map_err(|refusal| Problem { request, refusal })?;
+    info!(target: "decision", request:%, target_id = key.target, key:% = key.id; "key issued");
+    Ok((StatusCode::CREATED, Json(json!({ "key": key.to_string() }))))
+}
+
+fn choose(
+    entry: &Entry,
+    application: &str,
+    headers: &HeaderMap,
+) -> Result<IdempotencyKey, Refusal> {
+    let caller = Caller::identify(entry, headers)?;
+    if !caller.team.applications.iter().any(|id| id == application) {
+        return Err(Refusal::not_run(Reason::UnknownApplication));
+    }
+    let now = entry.clock.now();
+    let draw = RequestId::new_v4().as_u64_pair().0;
+    let mut core = entry.core();
+    let candidates = core.known.workers(&caller.fleet, application, &BTreeSet::new(), now);
+    let chosen = core.router.choose(Cost::default(), &candidates, draw);
+    let target = chosen.ok_or(Refusal::not_run(Reason::NoTarget))?.target.clone();
+    let incarnation = core.known.incarnation(&target);
+    drop(core);
+    let incarnation = incarnation.ok_or(Refusal::not_run(Reason::NoTarget))?;
+    Ok(IdempotencyKey::issue(target, incarnation, entry.clock.wall()))
+}
--- /dev/null
+++ b/entry/src/dispatch/answer.rs
@@ -0,0 +1,209 @@
+//! The answer to one admitted prompt, over as many attempts as it takes.
+
+use super::{
+    attempt::{self, Attempt},
+    large::{self, Leases},
+    pace::Pace,
+};
+use crate::entry::Entry;
+use fulmarhead_lib::{
+    config::Fleet,
+    ids::{ModelId, RequestId, TargetId, Tokens},
+    outcome::{Outcome, Reason, Refusal},
+    request::{Admitted, Request, StreamItem, Verdict},
+};
+use log::{info, warn};
+use std::sync::Arc;
+use tokio::time::{sleep, timeout_at};
+
+/// A prompt as the caller gave it.
+#[derive(Clone, Debug)]
+pub(crate) struct Prompt {
+    pub(crate) model: ModelId,
+    pub(crate) text: String,
+    pub(crate) max_tokens: Tokens,
+}
+
+/// A prompt with what its attempts need.
+#[derive(Clone, Debug)]
+pub(crate) struct PromptCall {
+    pub(crate) prompt: Prompt,
+    pub(crate) priority: u8,
+    pub(crate) fleet: Arc<Fleet>,
+}
+
+/// The answer to one admitted prompt.
+pub(crate) struct Answer {
+    entry: Arc<Entry>,
+    request: Request<Admitted>,
+    call: PromptCall,
+    source: Option<Source>,
+    pace: Pace,
+}
+
+/// Where the current attempt gets its items from.
+struct Source {
+    attempt: Attempt,
+    /// Leases of a prompt over several engines, released when the source is dropped.
+    leases: Option<Leases>,
+}
+
+impl Answer {
+    /// Returns the answer of a request that was not sent yet.
+    pub(crate) fn new(entry: Arc<Entry>, request: Request<Admitted>, call: PromptCall) -> Self {
+        Self { entry, request, call, source: None, pace: Pace::new() }
+    }
+
+    /// Returns the next item that the caller has not seen, within the time limit.
+    pub(crate) async fn next(&mut self) -> Result<StreamItem, Refusal> {
+        let deadline = self.request.deadline.instant();
+        match timeout_at(deadline.into(), self.advance()).await {
+            Ok(result) => result,
+            Err(_) => Err(self.request.expire()),
+        }
+    }
+
+    async fn advance(&mut self) -> Result<StreamItem, Refusal> {
+        loop {
+            let source = match self.source.take() {
+                Some(source) => source,
+                None => self.connect().await?,
+            };
+            let source = self.source.insert(source);
+            let number = self.request.attempt().number;
+            let item = source.next().await;
+            let verdict = item.as_ref().map(|item| self.request.cursor().accept(number, item));
+            match (item, verdict) {
+                (Some(item), Some(Verdict::Deliver)) => return Ok(item),
+                (Some(_), Some(Verdict::Drop)) => {}
+                _ => self.break_off()?,
+            }
+        }
+    }
+
+    /// Ends an attempt whose stream broke off and allows the next one.
+    fn break_off(&mut self) -> Result<(), Refusal> {
+        let failed = Refusal::failed(Reason::TargetFailed);
+        let target = self.source.take().map(|source| source.attempt.tally.target().to_owned());
+        let target = target.unwrap_or_default();
+        let attempt = self.request.attempt();
+        warn!(
+            target: "decision", request:% = attempt.request, attempt = attempt.number,
+            target_id = target, position = attempt.position;
+            "stream broke off"
+        );
+        if !self.entry.core().retries.withdraw() {
+            return Err(failed);
+        }
+        self.pace.refused(&target, failed);
+        self.request.cursor().next_attempt();
+        Ok(())
+    }
+
+    /// Makes attempts until a target takes the request.
+    async fn connect(&mut self) -> Result<Source, Refusal> {
+        loop {
+            let Some(target) = self.choose()? else {
+                self.wait().await?;
+                continue;
+            };
+            self.request.dispatch();
+            let refusal = match self.attempt(&target).await {
+                Ok(source) => return Ok(source),
+                Err(refusal) => refusal,
+            };
+            self.refused(&target, refusal)?;
+        }
+    }
+
+    async fn attempt(&self, target: &Choice) -> Result<Source, Refusal> {
+        match target {
+            Choice::One(target) => {
+                let attempt =
+                    attempt::send(&self.entry, &self.request, &self.call, target, None).await?;
+                Ok(Source { attempt, leases: None })
+            }
+            Choice::Several => {
+                let (attempt, leases) = large::send(&self.entry, &self.request, &self.call).await?;
+                Ok(Source { attempt, leases: Some(leases) })
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Result<Option<Choice>, Refusal> {
+        if self.pace.is_round_over() {
+            return Ok(None);
+        }
+        let entry = Arc::clone(&self.entry);
+        // Each attempt is decided by the configuration in force, not by the one at admission.
+        self.call.fleet = entry.fleet()?;
+        let now = entry.clock.now();
+        let draw = RequestId::new_v4().as_u64_pair().0;
+        let mut core = entry.core();
+        let model = &self.call.prompt.model;
+        let candidates = core.known.engines(&self.call.fleet, model, self.pace.tried(), now);
+        let largest = candidates.iter().map(|candidate| candidate.load.kv_total).max();
+        if largest.is_some_and(|largest| self.request.cost.kv() > largest) {
+            return Ok(Some(Choice::Several));
+        }
+        let cost = self.request.cost;
+        let chosen = core.router.choose(cost, &candidates, draw);
+        let chosen = chosen.map(|candidate| candidate.target.clone());
+        drop(core);
+        if let Some(target) = &chosen {
+            let attempt = self.request.attempt();
+            info!(
+                target: "decision", request:% = attempt.request, attempt = attempt.number,
+                target_id = target, candidates = candidates.len();
+                "target chosen"
+            );
+        }
+        Ok(chosen.map(Choice::One))
+    }
+
+    fn refused(&mut self, target: &Choice, refusal: Refusal) -> Result<(), Refusal> {
+        if refusal.outcome == Outcome::NotRun {
+            self.request.refused();
+        }
+        if !self.request.may_retry(&refusal, self.entry.clock.now()) {
+            return Err(refusal);
+        }
+        let failed = refusal.reason == Reason::TargetFailed;
+        if failed && !self.entry.core().retries.withdraw() {
+            return Err(refusal);
+        }
+        self.request.cursor().next_attempt();
+        match target {
+            Choice::One(target) => self.pace.refused(target, refusal),
+            Choice::Several => self.pace.end_round(refusal),
+        }
+        Ok(())
+    }
+
+    /// Waits before the next round, or gives up if the time limit ends before it.
+    async fn wait(&mut self) -> Result<(), Refusal> {
+        let wait = self.pace.next_round();
+        if self.request.deadline.remaining(self.entry.clock.now()) <= wait {
+            return Err(self.pace.last());
+        }
+        sleep(wait).await;
+        Ok(())
+    }
+}
+
+/// Where an attempt goes.
+enum Choice {
+    /// To one engine.
+    One(TargetId),
+    /// To several engines that hold the prompt together.
+    Several,
+}
+
+impl Source {
+    async fn next(&mut self) -> Option<StreamItem> {
+        match &mut self.leases {
+            Some(leases) => leases.renew_while(self.attempt.next()).await.ok().flatten(),
+            None => self.attempt.next().await,
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/dispatch/attempt.rs
@@ -0,0 +1,164 @@
+//! One attempt of a completion at one engine.
+
+use super::{answer::PromptCall, events::Events};
+use crate::entry::Entry;
+use axum::http::{HeaderValue, Method, header::CONTENT_TYPE};
+use bytes::Bytes;
+use fulmarhead_lib::{
+    cost::Cost,
+    ids::{LeaseId, TargetId},
+    outcome::{Reason, Refusal},
+    request::{Admitted, Request, StreamItem},
+};
+use fulmarhead_runtime::{
+    http::{ClientError, Endpoint, read_body},
+    platform::engine::Completion,
+    work::{REFUSAL, WorkHeaders},
+};
+use hyper::{Response, body::Incoming};
+use std::sync::Arc;
+
+/// Largest body of a refusal, in bytes.
+const MAX_REFUSAL: usize = 4_096;
+
+/// An attempt that a target has taken.
+pub(super) struct Attempt {
+    pub(super) events: Events,
+    pub(super) tally: Tally,
+}
+
+impl Attempt {
+    /// Returns the next item of the stream.
+    pub(super) async fn next(&mut self) -> Option<StreamItem> {
+        let item = self.events.next().await.ok();
+        self.tally.first_token();
+        item
+    }
+}
+
+/// Counts an attempt among those of its target until it is dropped.
+pub(super) struct Tally {
+    entry: Arc<Entry>,
+    target: TargetId,
+    waiting: u64,
+}
+
+impl Tally {
+    /// Counts an attempt that is about to be sent.
+    pub(super) fn new(entry: &Arc<Entry>, target: &str, cost: Cost) -> Self {
+        entry.core().known.begin(target, cost.prompt);
+        Self { entry: Arc::clone(entry), target: target.to_owned(), waiting: cost.prompt }
+    }
+
+    /// Returns the target of the attempt.
+    pub(super) fn target(&self) -> &str {
+        &self.target
+    }
+
+    fn first_token(&mut self) {
+        if self.waiting > 0 {
+            self.entry.core().known.first_token(&self.target, self.waiting);
+            self.waiting = 0;
+        }
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        self.first_token();
+        self.entry.core().known.end(&self.target);
+    }
+}
+
+/// Sends the prompt to `target`; returns once the target has taken or refused it.
+pub(super) async fn send(
+    entry: &Arc<Entry>,
+    request: &Request<Admitted>,
+    call: &PromptCall,
+    target: &str,
+    lease: Option<(LeaseId, String)>,
+) -> Result<Attempt, Refusal> {
+    let tally = Tally::new(entry, target, request.cost);
+    let (lease, previous) = lease.unzip();
+    let completion = Completion {
+        model: call.prompt.model.clone(),
+        prompt: match lease {
+            Some(_) => String::new(),
+            None => call.prompt.text.clone(),
+        },
+        max_tokens: call.prompt.max_tokens,
+        priority: call.priority,
+        request_id: request.id,
+        position: request.attempt().position,
+        lease,
+        previous,
+    };
+    let body = serde_json::to_vec(&completion).map_err(|_| malformed())?;
+    let headers = work_headers(entry, request, call, lease);
+    let answer = post(entry, call, target, "/work/completions", headers, body.into()).await?;
+    Ok(Attempt { events: Events::new(answer.into_body()), tally })
+}
+
+/// Returns the headers of the current attempt.
+pub(super) fn work_headers(
+    entry: &Entry,
+    request: &Request<Admitted>,
+    call: &PromptCall,
+    lease: Option<LeaseId>,
+) -> WorkHeaders {
+    WorkHeaders {
+        request: request.id,
+        attempt: request.attempt().number,
+        team: request.team.clone(),
+        remaining: request.deadline.remaining(entry.clock.now()),
+        priority: call.priority,
+        revision: call.fleet.revision,
+        cost: request.cost,
+        lease,
+    }
+}
+
+/// Posts work to the agent of `target` and returns its answer, unless it is a refusal.
+pub(super) async fn post(
+    entry: &Entry,
+    call: &PromptCall,
+    target: &str,
+    path: &str,
+    work: WorkHeaders,
+    body: Bytes,
+) -> Result<Response<Incoming>, Refusal> {
+    let known = call.fleet.target(target).ok_or(Refusal::not_run(Reason::NoTarget))?;
+    let mut headers = work.to_headers().map_err(|_| malformed())?;
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let endpoint = Endpoint::new(known.work, path);
+    let answer = entry.client.send(Method::POST, &endpoint, headers, body).await;
+    match answer {
+        Ok(answer) if answer.status().is_success() => Ok(answer),
+        Ok(answer) => Err(read_refusal(answer).await),
+        Err(error) => Err(lost(&error)),
+    }
+}
+
+/// Reads the refusal in an answer without success.
+pub(super) async fn read_refusal(answer: Response<Incoming>) -> Refusal {
+    let unreadable = Refusal::failed(Reason::TargetFailed);
+    if !answer.headers().contains_key(REFUSAL) {
+        return unreadable;
+    }
+    match read_body(answer.into_body(), MAX_REFUSAL).await {
+        Ok(body) => serde_json::from_slice(&body).unwrap_or(unreadable),
+        Err(_) => unreadable,
+    }
+}
+
+/// Returns what is known of work whose answer was lost.
+pub(super) fn lost(error: &ClientError) -> Refusal {
+    match error.is_unsent() {
+        true => Refusal::not_run(Reason::TargetFailed),
+        false => Refusal::failed(Reason::TargetFailed),
+    }
+}
+
+fn malformed() -> Refusal {
+    Refusal::not_run(Reason::MalformedRequest)
+}
--- /dev/null
+++ b/entry/src/entry.rs
@@ -0,0 +1,127 @@
+//! State of an entry and its decisions under one lock.
+
+use crate::{known::KnownTargets, settings::Settings};
+use fulmarhead_lib::{
+    clock::SharedClock,
+    config::{Adoption, Bundle, ConfigView, Fleet},
+    ids::{LeaseId, Revision, TargetId},
+    limits::{RetryBudget, RetrySettings, TeamLimiter},
+    outcome::{Reason, Refusal},
+    routing::{Router, RouterSettings},
+};
+use fulmarhead_runtime::{http::Client, process::Readiness};
+use log::{error, info};
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::{mpsc, watch};
+
+/// Leases that wait to be released.
+const RELEASE_QUEUE: usize = 4_096;
+
+/// A lease to release at the agent of a target.
+pub(crate) type Release = (TargetId, LeaseId);
+
+/// An entry.
+pub struct Entry {
+    /// Settings of the process.
+    pub settings: Settings,
+    pub(crate) clock: SharedClock,
+    pub(crate) client: Client,
+    pub(crate) readiness: Readiness,
+    pub(crate) revision: watch::Sender<Revision>,
+    pub(crate) releases: mpsc::Sender<Release>,
+    core: Mutex<Core>,
+}
+
+/// What the decisions of an entry work on.
+pub(crate) struct Core {
+    pub(crate) view: ConfigView,
+    pub(crate) known: KnownTargets,
+    pub(crate) router: Router,
+    pub(crate) teams: TeamLimiter,
+    pub(crate) retries: RetryBudget,
+    pub(crate) stopping: bool,
+}
+
+/// The queue of leases to release, for the task that works it off.
+#[derive(Clone)]
+pub struct ReleaseQueue(pub(crate) Arc<tokio::sync::Mutex<mpsc::Receiver<Release>>>);
+
+impl Entry {
+    /// Returns an entry that starts, and the queue of its releases.
+    pub fn new(
+        settings: Settings,
+        clock: SharedClock,
+        readiness: Readiness,
+    ) -> (Arc<Self>, ReleaseQueue) {
+        let core = Core {
+            view: ConfigView::default(),
+            known: KnownTargets::default(),
+            router: Router::new(RouterSettings { policy: settings.policy }),
+            teams: TeamLimiter::default(),
+            retries: RetryBudget::new(RetrySettings::default()),
+            stopping: false,
+        };
+        let (releases, queue) = mpsc::channel(RELEASE_QUEUE);
+        let entry = Self {
+            settings,
+            clock,
+            client: Client::default(),
+            readiness,
+            revision: watch::Sender::new(0),
+            releases,
+            core: Mutex::new(core),
+        };
+        (Arc::new(entry), ReleaseQueue(Arc::new(tokio::sync::Mutex::new(queue))))
+    }
+
+    /// Locks the state; never held across an await.
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn fleet(&self) -> Result<Arc<Fleet>, Refusal> {
+        self.core().view.fleet().ok_or(Refusal::not_run(Reason::NoConfiguration))
+    }
+
+    /// Puts a configuration in force if it is valid and newer.
+    pub fn adopt(&self, bundle: Bundle) -> Revision {
+        let offered = bundle.revision;
+        let mut core = self.core();
+        let result = core.view.offer(bundle);
+        let revision = core.view.revision();
+        if let (Ok(Adoption::Adopted), Some(fleet)) = (&result, core.view.fleet()) {
+            core.known.retain(&fleet);
+        }
+        let ready = core.view.fleet().is_some() && !core.stopping;
+        drop(core);
+        match result {
+            Ok(Adoption::Adopted) => {
+                info!(revision = offered; "configuration adopted");
+                self.readiness.set(ready);
+                self.revision.send_replace(revision);
+            }
+            Ok(_) => {}
+            Err(error) => error!(revision = offered, error:%; "configuration refused"),
+        }
+        revision
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        *self.revision.borrow()
+    }
+
+    /// Shows the balancer that the entry ends.
+    pub fn begin_stop(&self) {
+        self.core().stopping = true;
+        self.readiness.set(false);
+    }
+
+    /// Releases leases soon; what a full queue drops expires at the agent.
+    pub(crate) fn release(&self, leases: Vec<Release>) {
+        for lease in leases {
+            let _ = self.releases.try_send(lease);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/peers/agent.rs
@@ -0,0 +1,67 @@
+//! The control connection to one agent.
+
+use crate::entry::Entry;
+use fulmarhead_lib::{control::SyncReply, ids::TargetId};
+use fulmarhead_runtime::control::{Peer, PeerError};
+use log::debug;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Pause before a lost connection is set up again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Connects again and again until `stop` is cancelled.
+pub(super) async fn run(
+    entry: Arc<Entry>,
+    target: TargetId,
+    address: SocketAddr,
+    stop: CancellationToken,
+) {
+    while !stop.is_cancelled() {
+        let result = tokio::select! {
+            () = stop.cancelled() => Ok(()),
+            result = exchange(&entry, &target, address) => result,
+        };
+        entry.core().known.connect(&target, None);
+        if let Err(error) = result {
+            debug!(target_id = target, error:%; "agent can't be reached");
+        }
+        let _ = timeout(RECONNECT_PAUSE, stop.cancelled()).await;
+    }
+}
+
+/// Exchanges revisions and reports on one connection until it fails.
+async fn exchange(entry: &Entry, target: &str, address: SocketAddr) -> Result<(), PeerError> {
+    let peer = Peer::connect(address, Arc::clone(&entry.clock)).await?;
+    entry.core().known.connect(target, Some(peer.clone()));
+    let mut revision = entry.revision.subscribe();
+    loop {
+        synchronize(entry, &peer).await?;
+        if let Some(report) = peer.report().await? {
+            entry.core().known.report(report, entry.clock.now());
+        }
+        // A new revision goes out at once.
+        let _ = timeout(REPORT_INTERVAL, revision.changed()).await;
+    }
+}
+
+/// Brings both sides to the higher revision.
+pub(super) async fn synchronize(entry: &Entry, peer: &Peer) -> Result<(), PeerError> {
+    match peer.sync(entry.revision()).await? {
+        SyncReply::Current => {}
+        SyncReply::Newer(bundle) => {
+            entry.adopt(bundle);
+        }
+        SyncReply::Behind(_) => {
+            let bundle = entry.core().view.bundle();
+            if let Some(bundle) = bundle {
+                peer.adopt(bundle).await?;
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/entry/src/peers/releases.rs
@@ -0,0 +1,28 @@
+//! Releases leases whose request has ended.
+
+use crate::entry::{Entry, ReleaseQueue};
+use fulmarhead_runtime::supervisor::TaskResult;
+use log::debug;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// Works off the queue until `stop` is cancelled.
+pub(crate) async fn release_leases(
+    entry: Arc<Entry>,
+    queue: ReleaseQueue,
+    stop: CancellationToken,
+) -> TaskResult {
+    let mut queue = queue.0.lock().await;
+    loop {
+        let release = tokio::select! {
+            () = stop.cancelled() => return Ok(()),
+            release = queue.recv() => release,
+        };
+        let Some((target, lease)) = release else { return Ok(()) };
+        let peer = entry.core().known.peer(&target);
+        let Some(peer) = peer else { continue };
+        if let Err(error) = peer.release(lease).await {
+            debug!(lease:%, error:%; "lease was not released and will expire");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/tree.rs
@@ -0,0 +1,97 @@
+//! The supervisor tree of an entry.
+
+use crate::{
+    callers,
+    entry::{Entry, ReleaseQueue},
+    peers::{keep_peers, release_leases},
+    settings::Settings,
+    watcher::watch,
+};
+use fulmarhead_lib::clock::SharedClock;
+use fulmarhead_runtime::{
+    control::{ControlServer, Handler},
+    http::{Server, ServerSettings},
+    ops::{self, StateDump},
+    process::Readiness,
+    supervisor::{Supervisor, TaskResult},
+    telemetry::MetricsHandle,
+};
+use std::{io, sync::Arc};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// The bound listeners of an entry.
+#[derive(Clone, Debug)]
+pub struct Listeners {
+    callers: Arc<TcpListener>,
+    control: Arc<TcpListener>,
+    ops: Arc<TcpListener>,
+}
+
+impl Listeners {
+    /// Takes listeners that are bound already.
+    pub fn from_bound(callers: TcpListener, control: TcpListener, ops: TcpListener) -> Self {
+        Self { callers: Arc::new(callers), control: Arc::new(control), ops: Arc::new(ops) }
+    }
+
+    /// Binds the addresses of `settings`.
+    pub async fn bind(settings: &Settings) -> io::Result<Self> {
+        Ok(Self::from_bound(
+            TcpListener::bind(settings.callers).await?,
+            TcpListener::bind(settings.control).await?,
+            TcpListener::bind(settings.ops).await?,
+        ))
+    }
+}
+
+/// Runs an entry until `shutdown` is cancelled and its requests are finished.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    clock: SharedClock,
+    metrics: Option<MetricsHandle>,
+    shutdown: CancellationToken,
+) -> TaskResult {
+    let readiness = Readiness::default();
+    let (entry, queue) = Entry::new(settings, clock, readiness.clone());
+    let watched = Arc::clone(&entry);
+    let on_shutdown = shutdown.clone();
+    let announce = async move {
+        on_shutdown.cancelled().await;
+        watched.begin_stop();
+    };
+    let root = root(&entry, queue, listeners, readiness, metrics);
+    tokio::select! {
+        result = root.run(shutdown) => result,
+        never = async { announce.await; std::future::pending().await } => never,
+    }
+}
+
+fn root(
+    entry: &Arc<Entry>,
+    queue: ReleaseQueue,
+    listeners: Listeners,
+    readiness: Readiness,
+    metrics: Option<MetricsHandle>,
+) -> Supervisor {
+    let name = format!("entry {}", entry.settings.id);
+    let root =
+        Supervisor::new(name, Arc::clone(&entry.clock)).stop_bound(entry.settings.stop_bound);
+    let state: Arc<dyn StateDump> = Arc::clone(entry) as Arc<dyn StateDump>;
+    let handler: Arc<dyn Handler> = Arc::clone(entry) as Arc<dyn Handler>;
+    let [watcher, peers, releaser, callers] = std::array::from_fn(|_| Arc::clone(entry));
+    root.permanent("operators", move |stop| {
+        let router = ops::router(readiness.clone(), metrics.clone(), Arc::clone(&state));
+        Server::new(Arc::clone(&listeners.ops), router, ServerSettings::default()).run(stop)
+    })
+    .permanent("control", move |stop| {
+        ControlServer::new(Arc::clone(&listeners.control)).run(Arc::clone(&handler), stop)
+    })
+    .permanent("watcher", move |stop| watch(Arc::clone(&watcher), stop))
+    .permanent("peers", move |stop| keep_peers(Arc::clone(&peers), stop))
+    .permanent("releases", move |stop| release_leases(Arc::clone(&releaser), queue.clone(), stop))
+    .permanent("callers", move |stop| {
+        let router = callers::router(&callers);
+        Server::new(Arc::clone(&listeners.callers), router, ServerSettings::default()).run(stop)
+    })
+}
--- a/lib/src/admission/controller.rs
+++ b/lib/src/admission/controller.rs
@@ -3,7 +3,7 @@
 use super::cap::{Cap, CapSettings};
 use crate::{
     cost::Cost,
-    ids::{RequestId, Tokens},
+    ids::{AttemptNumber, RequestId, Tokens},
     outcome::{Reason, Refusal},
 };
 use serde::{Deserialize, Serialize};
@@ -67,7 +67,7 @@
     settings: AdmissionSettings,
     phase: Phase,
     cap: Cap,
-    running: BTreeMap<(RequestId, u32), Running>,
+    running: BTreeMap<(RequestId, AttemptNumber), Running>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -94,7 +94,14 @@
     }
 
     /// Admits attempt `attempt` of `work`, or says why the target can't take it.
-    pub fn admit(&mut self, work: Work, attempt: u32) -> Result<(), Refusal> {
+    ///
+    /// `unleased` is the memory that no lease holds, in tokens.
+    pub fn admit(
+        &mut self,
+        work: Work,
+        attempt: AttemptNumber,
+        unleased: Tokens,
+    ) -> Result<(), Refusal> {
         self.check_phase()?;
         if work.remaining.is_zero() {
             return Err(Refusal::not_run(Reason::DeadlineExceeded));
@@ -107,19 +114,22 @@
         if queued > 0 && queued + work.cost.prompt > self.settings.max_prefill {
             return Err(Refusal::not_run(Reason::Overloaded).after(RETRY_AFTER));
         }
+        if self.memory() + work.cost.kv() > unleased {
+            return Err(Refusal::not_run(Reason::NoMemory).after(RETRY_AFTER));
+        }
         self.running.insert((work.request, attempt), Running { cost: work.cost, prefill: true });
         Ok(())
     }
 
     /// Records that the target sent the first token of an attempt.
-    pub fn first_token(&mut self, request: RequestId, attempt: u32) {
+    pub fn first_token(&mut self, request: RequestId, attempt: AttemptNumber) {
         if let Some(running) = self.running.get_mut(&(request, attempt)) {
             running.prefill = false;
         }
     }
 
     /// Ends an attempt; `success` says whether the target did its work.
-    pub fn end(&mut self, request: RequestId, attempt: u32, success: bool, now: Instant) {
+    pub fn end(&mut self, request: RequestId, attempt: AttemptNumber, success: bool, now: Instant) {
         self.running.remove(&(request, attempt));
         if success {
             self.cap.succeed(now);
@@ -150,7 +160,13 @@
             .sum()
     }
 
-    fn check_phase(&self) -> Result<(), Refusal> {
+    /// Returns the memory that running attempts may use, in tokens.
+    pub fn memory(&self) -> Tokens {
+        self.running.values().map(|running| running.cost.kv()).sum()
+    }
+
+    /// Returns why the target takes no new work, if it does not.
+    pub fn check_phase(&self) -> Result<(), Refusal> {
         match self.phase {
             Phase::Serving => Ok(()),
             Phase::Starting => Err(Refusal::not_run(Reason::NoConfiguration).after(RETRY_AFTER)),
--- a/lib/src/keys/ledger.rs
+++ b/lib/src/keys/ledger.rs
@@ -195,6 +195,12 @@
         Refusal::not_run(reason)
     }
 
+    /// Records that the call could not be sent after all; the key never runs.
+    pub fn unsent(&mut self, claim: Claim<Dispatched>, reason: Reason) -> Refusal {
+        self.set(claim.key, KeyState::Tombstone(reason));
+        Refusal::not_run(reason)
+    }
+
     /// Records the answer of a call.
     pub fn answer(&mut self, claim: Claim<Dispatched>, mut answer: Answer) {
         if answer.body.as_ref().is_some_and(|body| body.len() > self.settings.max_answer) {
--- a/lib/src/lease/ledger.rs
+++ b/lib/src/lease/ledger.rs
@@ -87,12 +87,13 @@
 
     /// Reserves `tokens` for `request` under the identifier `lease`.
     ///
-    /// A holder that asks again for the same request and lease gets the same grant.
+    /// `in_use` is the memory that work without a lease may use. A holder that asks again for the same request and lease gets the same grant.
     pub fn reserve(
         &mut self,
         request: RequestId,
         lease: LeaseId,
         tokens: Tokens,
+        in_use: Tokens,
         now: Instant,
     ) -> Result<Grant, Refusal> {
         if let Some(known) = self.leases.get_mut(&lease) {
@@ -102,7 +103,7 @@
             known.expires = now + self.settings.period;
             return Ok(self.grant(lease, tokens));
         }
-        if tokens > self.free() {
+        if tokens + in_use > self.free() {
             return Err(Refusal::not_run(Reason::NoMemory).after(self.settings.retry_after));
         }
         let expires = now + self.settings.period;
@@ -161,9 +162,9 @@
         self.leases.values().map(|lease| lease.tokens).sum()
     }
 
-    /// Returns whether a lease is in force.
-    pub fn holds(&self, lease: LeaseId, now: Instant) -> bool {
-        self.leases.get(&lease).is_some_and(|known| known.expires > now)
+    /// Returns the memory of a lease that is in force, in tokens.
+    pub fn tokens(&self, lease: LeaseId, now: Instant) -> Option<Tokens> {
+        self.leases.get(&lease).filter(|known| known.expires > now).map(|known| known.tokens)
     }
 
     /// Returns how many leases the ledger holds.
--- /dev/null
+++ b/local/src/plan.rs
@@ -0,0 +1,161 @@
+//! What a local fleet consists of, and its configuration document.
+
+use fulmarhead_lib::{
+    config::{Application, Bounds, Entry, Fleet, Kind, Model, Policy, Route, Target, Team, Zone},
+    digest::sha256_hex,
+    ids::{ApplicationId, ModelId, Revision, ZoneId},
+};
+use standins::{application::ApplicationSettings, engine::EngineSettings};
+use std::net::SocketAddr;
+
+/// Bearer token of the local team.
+pub const TOKEN: &str = "local-token";
+
+/// Kinds and numbers of a local fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Zones; targets are spread over them.
+    pub zones: Vec<ZoneId>,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of model engines.
+    pub engines: usize,
+    /// Number of application workers.
+    pub workers: usize,
+    /// Model that all engines serve.
+    pub model: ModelId,
+    /// Application that all workers serve.
+    pub application: ApplicationId,
+    /// Abilities of each engine.
+    pub engine: EngineSettings,
+    /// Abilities of each worker.
+    pub worker: ApplicationSettings,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            zones: ["za-south-a", "za-south-b", "za-south-c"].map(ToOwned::to_owned).to_vec(),
+            entries: 2,
+            engines: 6,
+            workers: 3,
+            model: "assistant".to_owned(),
+            application: "yard-desk".to_owned(),
+            engine: EngineSettings::default(),
+            worker: ApplicationSettings::default(),
+        }
+    }
+}
+
+/// Addresses of an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AgentAddresses {
+    pub(crate) work: SocketAddr,
+    pub(crate) control: SocketAddr,
+}
+
+impl Plan {
+    /// Returns the zone of the target or entry with the given index.
+    pub(crate) fn zone(&self, index: usize) -> ZoneId {
+        self.zones[index % self.zones.len()].clone()
+    }
+
+    /// Returns the document of the first revision.
+    pub(crate) fn document(
+        &self,
+        engines: &[AgentAddresses],
+        workers: &[AgentAddresses],
+        entries: &[SocketAddr],
+    ) -> Fleet {
+        let engines = engines.iter().enumerate().map(|(index, at)| self.engine(index, *at));
+        let workers = workers.iter().enumerate().map(|(index, at)| self.worker(index, *at));
+        Fleet {
+            revision: FIRST_REVISION,
+            zones: self.zones.iter().map(zone).collect(),
+            models: vec![Model { id: self.model.clone(), max_tokens: 1_100_000 }],
+            targets: engines.chain(workers).collect(),
+            entries: entries.iter().enumerate().map(|(i, &at)| self.entry(i, at)).collect(),
+            teams: vec![self.team()],
+            applications: vec![self.application()],
+            bounds: Bounds::default(),
+            policy: Policy::default(),
+            release: None,
+        }
+    }
+
+    fn engine(&self, index: usize, at: AgentAddresses) -> Target {
+        Target {
+            id: engine_id(index),
+            zone: self.zone(index),
+            kind: Kind::Engine,
+            work: at.work,
+            control: at.control,
+            models: vec![self.model.clone()],
+            application: None,
+            departing: false,
+        }
+    }
+
+    fn worker(&self, index: usize, at: AgentAddresses) -> Target {
+        Target {
+            id: worker_id(index),
+            zone: self.zone(index),
+            kind: Kind::Application,
+            work: at.work,
+            control: at.control,
+            models: Vec::new(),
+            application: Some(self.application.clone()),
+            departing: false,
+        }
+    }
+
+    fn entry(&self, index: usize, control: SocketAddr) -> Entry {
+        Entry { id: entry_id(index), zone: self.zone(index), control }
+    }
+
+    fn team(&self) -> Team {
+        Team {
+            id: "local".to_owned(),
+            token_sha256: sha256_hex(TOKEN.as_bytes()),
+            models: vec![self.model.clone()],
+            applications: vec![self.application.clone()],
+            priority: 0,
+            tokens_per_second: 4_000_000,
+            burst_tokens: 16_000_000,
+        }
+    }
+
+    fn application(&self) -> Application {
+        let route = |method: &str, path: &str, repeatable| Route {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            repeatable,
+        };
+        Application {
+            id: self.application.clone(),
+            routes: vec![route("GET", "/stock", true), route("POST", "/orders", false)],
+        }
+    }
+}
+
+/// Revision of the first document.
+const FIRST_REVISION: Revision = 1;
+
+/// Returns the name of an engine.
+pub(crate) fn engine_id(index: usize) -> String {
+    format!("engine-{}", index + 1)
+}
+
+/// Returns the name of a worker.
+pub(crate) fn worker_id(index: usize) -> String {
+    format!("worker-{}", index + 1)
+}
+
+/// Returns the name of an entry.
+pub(crate) fn entry_id(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
+
+fn zone(id: &ZoneId) -> Zone {
+    Zone { id: id.clone(), in_service: true }
+}
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod settings;
 pub mod supervisor;
 pub mod telemetry;
+pub mod work;
--- a/standins/src/engine/messages.rs
+++ b/runtime/src/platform/engine.rs
@@ -1,10 +1,80 @@
-//! Bodies of the engine's calls.
+//! Calls of a model engine.
 
+use crate::http::{Client, ClientError, Endpoint};
+use bytes::Bytes;
 use fulmarhead_lib::{
     ids::{FencingNumber, LeaseId, ModelId, Position, RequestId, Tokens},
     lease::Allocation,
 };
+use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
+
+/// Longest time for a call that does no generation.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An engine as its agent calls it.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl EngineClient {
+    /// Returns the engine at `address`.
+    pub fn new(address: SocketAddr, client: Client) -> Self {
+        Self { address, client }
+    }
+
+    /// Reads the load.
+    pub async fn load(&self) -> Result<EngineLoad, ClientError> {
+        self.client.get_json(&self.endpoint("/load"), CALL_TIMEOUT).await
+    }
+
+    /// Lists the memory that leases hold.
+    pub async fn allocations(&self) -> Result<Vec<Allocation>, ClientError> {
+        let endpoint = self.endpoint("/kv");
+        let list: Allocations = self.client.get_json(&endpoint, CALL_TIMEOUT).await?;
+        Ok(list.allocations)
+    }
+
+    /// Allocates memory for a lease; repeating the call changes nothing.
+    pub async fn allocate(&self, lease: LeaseId, tokens: Tokens) -> Result<(), ClientError> {
+        let endpoint = self.endpoint(&format!("/kv/{lease}"));
+        let allocate = Allocate { tokens };
+        self.client.send_json(Method::PUT, &endpoint, &allocate, CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Frees the memory of a lease; memory that is free already is no error.
+    pub async fn free(&self, lease: LeaseId) -> Result<(), ClientError> {
+        self.delete(&format!("/kv/{lease}")).await
+    }
+
+    /// Cancels a stream; a stream that has ended already is no error.
+    pub async fn cancel(&self, request: RequestId) -> Result<(), ClientError> {
+        self.delete(&format!("/v1/streams/{request}")).await
+    }
+
+    /// Gives an order.
+    pub async fn order(&self, order: &OrderRequest) -> Result<(), ClientError> {
+        let endpoint = self.endpoint("/orders");
+        self.client.send_json(Method::POST, &endpoint, order, CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    async fn delete(&self, path: &str) -> Result<(), ClientError> {
+        let endpoint = self.endpoint(path);
+        match self.client.call(Method::DELETE, &endpoint, Bytes::new(), CALL_TIMEOUT).await {
+            Ok(_) | Err(ClientError::Status(StatusCode::NOT_FOUND)) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn endpoint(&self, path: &str) -> Endpoint {
+        Endpoint::new(self.address, path)
+    }
+}
 
 /// Body of `POST /v1/completions`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/runtime/src/process.rs
+++ b/runtime/src/process.rs
@@ -1,8 +1,8 @@
 //! The life cycle of a process: starting, serving, draining.
 
+use crate::supervisor::TaskResult;
 use log::info;
 use std::{
-    io,
     marker::PhantomData,
     sync::{
         Arc,
@@ -81,13 +81,19 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn termination() -> io::Result<()> {
+/// Runs a supervisor tree until it ends; SIGTERM and SIGINT cancel `shutdown`.
+pub async fn run_until_terminated(
+    tree: impl Future<Output = TaskResult>,
+    shutdown: &CancellationToken,
+) -> TaskResult {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::pin!(tree);
     tokio::select! {
+        result = tree.as_mut() => return result,
         _ = terminate.recv() => info!("received SIGTERM"),
         _ = interrupt.recv() => info!("received SIGINT"),
     }
-    Ok(())
+    shutdown.cancel();
+    tree.await
 }
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -78,9 +78,12 @@
         parts.filter_map(|part| self.parse(flag, part)).collect()
     }
 
-    /// Returns all errors that were found, if there are any.
-    pub fn finish(self) -> Result<(), SettingErrors> {
-        if self.errors.is_empty() { Ok(()) } else { Err(SettingErrors(self.errors)) }
+    /// Returns the settings that `build` makes of the values, or all errors that were found.
+    pub fn finish_with<T>(self, build: impl FnOnce() -> Option<T>) -> Result<T, SettingErrors> {
+        match build() {
+            Some(settings) if self.errors.is_empty() => Ok(settings),
+            _ => Err(SettingErrors(self.errors)),
+        }
     }
 
     fn parse<T>(&mut self, flag: &'static str, value: &str) -> Option<T>
--- a/runtime/src/supervisor/connections.rs
+++ b/runtime/src/supervisor/connections.rs
@@ -46,6 +46,11 @@
         });
     }
 
+    /// Runs a task that takes a slot by itself when it has to wait for one.
+    pub fn spawn_unlimited(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tracker.spawn(task);
+    }
+
     /// Returns how many connections are open.
     pub fn len(&self) -> usize {
         self.tracker.len()
--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -1,10 +1,10 @@
 //! State of an engine: loaded models, memory and the batch.
 
-use super::messages::{EngineLoad, LoadedModel};
 use fulmarhead_lib::{
     ids::{LeaseId, ModelId, Tokens},
     lease::Allocation,
 };
+use fulmarhead_runtime::platform::engine::{EngineLoad, LoadedModel};
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! The interfaces are those of `docs/design/platform-protocols.md`.
 
+pub mod application;
 pub mod config_service;
 pub mod engine;
