--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -18,6 +18,7 @@
 };
 use log::{error, info};
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -71,6 +72,10 @@
     pub(crate) stopping: bool,
     /// Last tick of the monitor.
     pub(crate) ticked: Instant,
+    /// Streams whose reader went away, with the time at which they are cancelled.
+    pub(crate) held: BTreeMap<RequestId, Instant>,
+    /// Whether the process was paused and no peer has compared revisions since.
+    pub(crate) unsynced: bool,
     /// Last time an entry compared revisions with this agent.
     pub(crate) heard: Option<Instant>,
 }
@@ -101,6 +106,8 @@
             seen: false,
             stopping: false,
             ticked: now,
+            held: BTreeMap::new(),
+            unsynced: false,
             heard: None,
         };
         let client = Client::default();
@@ -138,8 +145,11 @@
         let mut core = self.core();
         let offered = bundle.revision;
         match core.view.offer(bundle) {
-            Ok(Adoption::Adopted) => info!(revision = offered; "configuration adopted"),
-            Ok(_) => {}
+            Ok(Adoption::Adopted) => {
+                core.unsynced = false;
+                info!(revision = offered; "configuration adopted");
+            }
+            Ok(_) => core.unsynced = false,
             Err(error) => error!(revision = offered, error:%; "configuration refused"),
         }
         core.view.revision()
@@ -213,7 +223,7 @@
             return Phase::Draining;
         }
         // After a long pause nothing that the agent believes is current until it was refreshed.
-        if !self.seen || now.saturating_duration_since(self.ticked) > STALE_AFTER {
+        if !self.seen || self.unsynced || now.saturating_duration_since(self.ticked) > STALE_AFTER {
             return Phase::Starting;
         }
         match self.view.fleet() {
@@ -223,6 +233,11 @@
         }
     }
 
+    /// Removes and returns the held streams whose reader did not come back in time.
+    pub(crate) fn take_abandoned(&mut self, now: Instant) -> Vec<RequestId> {
+        self.held.extract_if(.., |_, until| *until <= now).map(|(request, _)| request).collect()
+    }
+
     fn load_report(&self) -> Load {
         Load {
             running: self.admission.running(),
--- a/agent/src/control/mod.rs
+++ b/agent/src/control/mod.rs
@@ -14,6 +14,8 @@
         let mut core = self.core();
         core.heard = Some(self.clock.now());
         let own = core.view.revision();
+        // With a lower revision the agent waits for the newer configuration that follows.
+        core.unsynced &= own < revision;
         match core.view.bundle() {
             Some(bundle) if own > revision => SyncReply::Newer(bundle),
             _ if own < revision => SyncReply::Behind(own),
--- a/agent/src/seeds.rs
+++ b/agent/src/seeds.rs
@@ -69,10 +69,13 @@
         }
         Ok(SyncReply::Behind(_)) => {
             let bundle = agent.core().view.bundle();
-            if let Some(bundle) = bundle {
-                let _ = peer.adopt(bundle).await;
+            if let Some(bundle) = bundle
+                && peer.adopt(bundle).await.is_ok()
+            {
+                agent.core().unsynced = false;
             }
         }
-        Ok(SyncReply::Current) | Err(_) => {}
+        Ok(SyncReply::Current) => agent.core().unsynced = false,
+        Err(_) => {}
     }
 }
--- a/agent/src/target/leases.rs
+++ b/agent/src/target/leases.rs
@@ -1,4 +1,4 @@
-//! Frees the memory of leases that nobody renewed.
+//! Frees the memory of leases that nobody renewed and of streams that nobody resumed.
 
 use crate::agent::{Agent, Cleanup};
 use fulmarhead_runtime::supervisor::TaskResult;
@@ -25,7 +25,11 @@
         let mut core = agent.core();
         let expired = core.leases.expire(agent.clock.now());
         let orphans = core.leases.orphans(&allocations);
+        let abandoned = core.take_abandoned(agent.clock.now());
         drop(core);
+        for request in abandoned {
+            agent.clean_up(Cleanup::Stream(request));
+        }
         for &lease in &expired {
             info!(target: "decision", lease:%; "lease expired");
         }
--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -52,6 +52,7 @@
     core.ticked = now;
     if gap > PAUSED_AFTER {
         core.seen = false;
+        core.unsynced = core.view.revision() > 0;
         core.heard = None;
         drop(core);
         warn!(gap_ms = gap.as_millis() as u64; "process was paused; reading everything again");
--- a/agent/src/work/body.rs
+++ b/agent/src/work/body.rs
@@ -7,19 +7,28 @@
     ids::{AttemptNumber, RequestId},
     request::Deadline,
 };
+use fulmarhead_runtime::work::WorkHeaders;
 use futures::{Stream, stream};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use log::info;
-use std::{io, sync::Arc, time::Instant};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::time::timeout_at;
 
+/// How long a stream waits for its reader to come back, perhaps through another entry.
+const HOLD_TIME: Duration = Duration::from_secs(5);
+
 /// Room for one attempt at the target, given back when it is dropped.
 pub(crate) struct Permit {
     agent: Arc<Agent>,
     request: RequestId,
     attempt: AttemptNumber,
     admitted: Instant,
+    hold: bool,
     end: End,
 }
 
@@ -36,9 +45,10 @@
 
 impl Permit {
     /// Returns the permit of an attempt that was just admitted.
-    pub(crate) fn new(agent: Arc<Agent>, request: RequestId, attempt: AttemptNumber) -> Self {
+    pub(crate) fn new(agent: Arc<Agent>, work: &WorkHeaders) -> Self {
         let admitted = agent.clock.now();
-        Self { agent, request, attempt, admitted, end: End::Abandoned }
+        let (request, attempt) = (work.request, work.attempt);
+        Self { agent, request, attempt, admitted, hold: work.hold, end: End::Abandoned }
     }
 
     /// Records that the target answered.
@@ -64,8 +74,12 @@
         if self.end == End::Failed {
             core.admission.turned_cold(now);
         }
+        let abandoned = self.end == End::Abandoned;
+        if abandoned && self.hold {
+            core.held.insert(self.request, now + HOLD_TIME);
+        }
         drop(core);
-        if self.end == End::Abandoned {
+        if abandoned && !self.hold {
             self.agent.clean_up(Cleanup::Stream(self.request));
         }
         let (request, attempt) = (self.request, self.attempt);
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -31,8 +31,28 @@
     let work = WorkHeaders::from_headers(&headers)?;
     let deadline = Deadline::after(agent.clock.now(), work.remaining);
     let permit = admit(&agent, &work)?;
-    let endpoint = Endpoint::new(agent.settings.target_address, "/v1/completions");
-    run(&agent, &work, permit, &endpoint, body, deadline).await
+    let address = agent.settings.target_address;
+    let call = match work.resume {
+        None => EngineCall {
+            method: Method::POST,
+            endpoint: Endpoint::new(address, "/v1/completions"),
+            body,
+        },
+        Some(position) => {
+            agent.core().held.remove(&work.request);
+            let path = format!("/v1/streams/{}?from={position}", work.request);
+            let endpoint = Endpoint::new(address, path);
+            EngineCall { method: Method::GET, endpoint, body: Bytes::new() }
+        }
+    };
+    run(&agent, &work, permit, call, deadline).await
+}
+
+/// A call to the engine.
+pub(super) struct EngineCall {
+    pub(super) method: Method,
+    pub(super) endpoint: Endpoint,
+    pub(super) body: Bytes,
 }
 
 /// Admits an attempt; memory that a lease holds is not asked for again.
@@ -56,7 +76,7 @@
     match result {
         Ok(()) => {
             info!(target: "decision", request:%, attempt, running, cap, revision; "attempt admitted");
-            Ok(Permit::new(Arc::clone(agent), request, attempt))
+            Ok(Permit::new(Arc::clone(agent), work))
         }
         Err(refusal) => {
             log_refusal(request, attempt, &refusal);
@@ -70,13 +90,12 @@
     agent: &Arc<Agent>,
     work: &WorkHeaders,
     mut permit: Permit,
-    endpoint: &Endpoint,
-    body: Bytes,
+    call: EngineCall,
     deadline: Deadline,
 ) -> Result<Response, Refused> {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, axum::http::HeaderValue::from_static("application/json"));
-    let call = agent.client.send(Method::POST, endpoint, headers, body);
+    let call = agent.client.send(call.method, &call.endpoint, headers, call.body);
     let answer = match timeout_at(deadline.instant().into(), call).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
--- a/agent/src/work/segments.rs
+++ b/agent/src/work/segments.rs
@@ -1,14 +1,14 @@
 //! Segments of prompts that several engines hold together.
 
 use super::{
-    completions::{admit, run},
+    completions::{EngineCall, admit, run},
     refuse::Refused,
 };
 use crate::agent::Agent;
 use axum::{
     body::Bytes,
     extract::{Path, State},
-    http::HeaderMap,
+    http::{HeaderMap, Method},
     response::Response,
 };
 use fulmarhead_lib::{
@@ -37,5 +37,5 @@
     }
     let path = format!("/kv/{lease}/prefill");
     let endpoint = Endpoint::new(agent.settings.target_address, path);
-    run(&agent, &work, permit, &endpoint, body, deadline).await
+    run(&agent, &work, permit, EngineCall { method: Method::POST, endpoint, body }, deadline).await
 }
--- a/entry/src/callers/applications.rs
+++ b/entry/src/callers/applications.rs
@@ -16,7 +16,7 @@
     ids::{ApplicationId, RequestId},
     keys::IdempotencyKey,
     outcome::{Reason, Refusal},
-    request::Request,
+    request::{Cursor, Request},
 };
 use fulmarhead_runtime::work::IDEMPOTENCY_KEY;
 use log::info;
@@ -69,7 +69,7 @@
     }
     let body = body::read(body, caller.fleet.bounds.max_body).await?;
     let request = Request::new(id, caller.team.id.clone(), Cost::default(), caller.deadline);
-    let request = request.admit(0, key.is_none());
+    let request = request.admit(Cursor::new(1, 0), key.is_none());
     let query = target.uri.query().map_or(String::new(), |query| format!("?{query}"));
     let call = ApplicationCall {
         path: format!("/work/apps/{}/{}{query}", target.application, target.path),
--- a/entry/src/callers/completions.rs
+++ b/entry/src/callers/completions.rs
@@ -19,14 +19,17 @@
 };
 use fulmarhead_lib::{
     cost::Cost,
-    ids::{Position, RequestId},
+    ids::{AttemptNumber, Position, RequestId},
     outcome::{Reason, Refusal},
-    request::{Admitted, Request, StreamItem},
+    request::{Admitted, Cursor, EventId, Request, StreamItem},
 };
 use futures::{Stream, stream};
 use log::info;
 use std::{convert::Infallible, sync::Arc};
 
+/// Number of the first attempt of a request.
+const FIRST_ATTEMPT: AttemptNumber = 1;
+
 /// Answers `POST /v1/completions`.
 pub(crate) async fn complete(
     State(entry): State<Arc<Entry>>,
@@ -69,15 +72,24 @@
     body: Body,
 ) -> Result<Response, Refusal> {
     let caller = Caller::identify(entry, headers)?;
-    let position = last_event(headers)?;
+    let seen = last_event(headers)?;
+    let id = seen.as_ref().map_or(id, |seen| seen.request);
     let body = body::read(body, caller.fleet.bounds.max_body).await?;
-    let (prompt, streamed) = parse(style, &body)?;
+    let (mut prompt, streamed) = parse(style, &body)?;
+    // With one seed for all attempts a new attempt goes on with the text of the earlier one.
+    prompt.sampling.entry("seed".to_owned()).or_insert_with(|| seed(id).into());
     let cost = check(&caller, &prompt)?;
-    let request = admit(entry, &caller, id, cost, position)?;
+    let cursor = match &seen {
+        None => Cursor::new(FIRST_ATTEMPT, 0),
+        Some(seen) => Cursor::new(seen.attempt + 1, seen.position + 1),
+    };
+    let request = admit(entry, &caller, id, cost, cursor)?;
     let header =
         Header { style, request: id, created: entry.clock.wall(), model: prompt.model.clone() };
-    let call = PromptCall { prompt, priority: caller.team.priority, fleet: caller.fleet };
-    let mut answer = Answer::new(Arc::clone(entry), request, call);
+    let priority = caller.team.priority;
+    let call = PromptCall { prompt, priority, streamed, fleet: caller.fleet };
+    let holder = seen.map(|seen| seen.target);
+    let mut answer = Answer::new(Arc::clone(entry), request, call, holder);
     let first = answer.next().await?;
     if streamed {
         return Ok(Sse::new(events(answer, header, first)).into_response());
@@ -85,12 +97,16 @@
     whole(answer, header, first, cost).await
 }
 
-/// Returns the position after the last event that the caller has seen.
-fn last_event(headers: &HeaderMap) -> Result<Position, Refusal> {
-    let Some(value) = headers.get("last-event-id") else { return Ok(0) };
-    let seen = value.to_str().ok().and_then(|text| text.parse::<Position>().ok());
-    let next = seen.and_then(|seen| seen.checked_add(1));
-    next.ok_or(Refusal::not_run(Reason::MalformedRequest))
+/// Returns the last event that the caller has seen on an earlier connection.
+fn last_event(headers: &HeaderMap) -> Result<Option<EventId>, Refusal> {
+    let Some(value) = headers.get("last-event-id") else { return Ok(None) };
+    let seen = value.to_str().ok().and_then(|text| text.parse::<EventId>().ok());
+    let seen = seen.filter(|seen| seen.position < Position::MAX && seen.attempt < u32::MAX);
+    seen.map(Some).ok_or(Refusal::not_run(Reason::MalformedRequest))
+}
+
+fn seed(request: RequestId) -> u32 {
+    request.as_u64_pair().1 as u32 >> 1
 }
 
 fn check(caller: &Caller, prompt: &Prompt) -> Result<Cost, Refusal> {
@@ -111,7 +127,7 @@
     caller: &Caller,
     id: RequestId,
     cost: Cost,
-    position: Position,
+    cursor: Cursor,
 ) -> Result<Request<Admitted>, Refusal> {
     let mut core = entry.core();
     core.teams.take(&caller.team.id, caller.budget(), cost, entry.clock.now())?;
@@ -124,7 +140,7 @@
         "request admitted"
     );
     let request = Request::new(id, caller.team.id.clone(), cost, caller.deadline);
-    Ok(request.admit(position, true))
+    Ok(request.admit(cursor, true))
 }
 
 /// Collects the whole answer.
@@ -158,7 +174,7 @@
         match next {
             Next::Item(state) => {
                 let (mut answer, header, item) = *state;
-                let event = event(&header, &item);
+                let event = event(&header, &item).id(answer.event_id(&item).to_string());
                 let next = match item {
                     StreamItem::End { .. } => Next::Done,
                     StreamItem::Token { .. } => match answer.next().await {
@@ -187,13 +203,11 @@
 
 fn event(header: &Header, item: &StreamItem) -> Event {
     match item {
-        StreamItem::Token { position, text } => {
-            let data = header.chunk(text, None).to_string();
-            Event::default().id(position.to_string()).data(data)
+        StreamItem::Token { text, .. } => {
+            Event::default().data(header.chunk(text, None).to_string())
         }
-        StreamItem::End { length, finish } => {
-            let data = header.chunk("", Some(finish)).to_string();
-            Event::default().id(length.to_string()).data(data)
+        StreamItem::End { finish, .. } => {
+            Event::default().data(header.chunk("", Some(finish)).to_string())
         }
     }
 }
--- a/entry/src/callers/format.rs
+++ b/entry/src/callers/format.rs
@@ -7,7 +7,10 @@
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::time::{Duration, SystemTime};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime},
+};
 
 /// Tokens to generate when a caller names no number, as the published interface has it.
 const DEFAULT_MAX_TOKENS: Tokens = 16;
@@ -15,6 +18,18 @@
 /// Tokens to generate in a chat when a caller names no number.
 const DEFAULT_CHAT_TOKENS: Tokens = 1_024;
 
+/// Parameters that are passed on to the engine; the others don't change what it generates.
+const SAMPLING: [&str; 8] = [
+    "temperature",
+    "top_p",
+    "seed",
+    "stop",
+    "presence_penalty",
+    "frequency_penalty",
+    "logit_bias",
+    "response_format",
+];
+
 /// Form of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Style {
@@ -41,6 +56,8 @@
     max_tokens: Option<Tokens>,
     #[serde(default)]
     stream: bool,
+    #[serde(flatten)]
+    sampling: BTreeMap<String, Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -58,6 +75,8 @@
     max_completion_tokens: Option<Tokens>,
     #[serde(default)]
     stream: bool,
+    #[serde(flatten)]
+    sampling: BTreeMap<String, Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -80,14 +99,16 @@
 
 /// Parses the body of a request; returns the prompt and whether to stream the answer.
 pub(crate) fn parse(style: Style, body: &[u8]) -> Result<(Prompt, bool), Refusal> {
-    let (prompt, stream) = match style {
+    let parsed = match style {
         Style::Text => parse_text(body),
         Style::Chat => parse_chat(body),
-    }
-    .map_err(|_| Refusal::not_run(Reason::MalformedRequest))?;
+    };
+    let malformed = Refusal::not_run(Reason::MalformedRequest);
+    let (mut prompt, stream) = parsed.map_err(|_| malformed)?;
     if prompt.max_tokens == 0 {
-        return Err(Refusal::not_run(Reason::MalformedRequest));
+        return Err(malformed);
     }
+    prompt.sampling.retain(|name, _| SAMPLING.contains(&name.as_str()));
     Ok((prompt, stream))
 }
 
@@ -98,7 +119,8 @@
         TextPrompt::Many([text]) => text,
     };
     let max_tokens = request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    Ok((Prompt { model: request.model, text, max_tokens }, request.stream))
+    let sampling = request.sampling;
+    Ok((Prompt { model: request.model, text, max_tokens, sampling }, request.stream))
 }
 
 fn parse_chat(body: &[u8]) -> Result<(Prompt, bool), serde_json::Error> {
@@ -106,7 +128,8 @@
     let text = request.messages.into_iter().map(Message::into_text).collect();
     let max_tokens = request.max_completion_tokens.or(request.max_tokens);
     let max_tokens = max_tokens.unwrap_or(DEFAULT_CHAT_TOKENS);
-    Ok((Prompt { model: request.model, text, max_tokens }, request.stream))
+    let sampling = request.sampling;
+    Ok((Prompt { model: request.model, text, max_tokens, sampling }, request.stream))
 }
 
 impl Message {
--- a/entry/src/dispatch/answer.rs
+++ b/entry/src/dispatch/answer.rs
@@ -4,16 +4,18 @@
     attempt::{self, Attempt},
     large::{self, Leases},
     pace::Pace,
+    record::{self, Completed},
 };
 use crate::entry::Entry;
 use fulmarhead_lib::{
     config::Fleet,
     ids::{ModelId, RequestId, TargetId, Tokens},
     outcome::{Outcome, Reason, Refusal},
-    request::{Admitted, Request, StreamItem, Verdict},
+    request::{Admitted, EventId, Request, StreamItem, Verdict},
 };
 use log::{info, warn};
-use std::sync::Arc;
+use serde_json::Value;
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 use tokio::time::{sleep, timeout_at};
 
 /// A prompt as the caller gave it.
@@ -22,6 +24,8 @@
     pub(crate) model: ModelId,
     pub(crate) text: String,
     pub(crate) max_tokens: Tokens,
+    /// Sampling parameters, passed on to the engine.
+    pub(crate) sampling: BTreeMap<String, Value>,
 }
 
 /// A prompt with what its attempts need.
@@ -29,6 +33,8 @@
 pub(crate) struct PromptCall {
     pub(crate) prompt: Prompt,
     pub(crate) priority: u8,
+    /// Whether the caller may come back for the rest of a stream that broke off.
+    pub(crate) streamed: bool,
     pub(crate) fleet: Arc<Fleet>,
 }
 
@@ -37,8 +43,12 @@
     entry: Arc<Entry>,
     request: Request<Admitted>,
     call: PromptCall,
+    /// Target that may still hold the stream of an earlier connection.
+    holder: Option<TargetId>,
     source: Option<Source>,
     pace: Pace,
+    received: Instant,
+    first: Option<Instant>,
 }
 
 /// Where the current attempt gets its items from.
@@ -49,17 +59,71 @@
 }
 
 impl Answer {
-    /// Returns the answer of a request that was not sent yet.
-    pub(crate) fn new(entry: Arc<Entry>, request: Request<Admitted>, call: PromptCall) -> Self {
-        Self { entry, request, call, source: None, pace: Pace::new() }
+    /// Returns the answer of a request that was not sent yet; `holder` may hold its stream from
+    /// an earlier connection.
+    pub(crate) fn new(
+        entry: Arc<Entry>,
+        request: Request<Admitted>,
+        call: PromptCall,
+        holder: Option<TargetId>,
+    ) -> Self {
+        let received = entry.clock.now();
+        Self {
+            entry,
+            request,
+            call,
+            holder,
+            source: None,
+            pace: Pace::new(),
+            received,
+            first: None,
+        }
     }
 
     /// Returns the next item that the caller has not seen, within the time limit.
     pub(crate) async fn next(&mut self) -> Result<StreamItem, Refusal> {
         let deadline = self.request.deadline.instant();
-        match timeout_at(deadline.into(), self.advance()).await {
+        let result = match timeout_at(deadline.into(), self.advance()).await {
             Ok(result) => result,
             Err(_) => Err(self.request.expire()),
+        };
+        self.record(&result);
+        result
+    }
+
+    /// Returns the identifier of the event for the item that was returned last.
+    pub(crate) fn event_id(&self, item: &StreamItem) -> EventId {
+        let target = self.source.as_ref().map(|source| source.attempt.tally.target().to_owned());
+        EventId {
+            request: self.request.id,
+            attempt: self.request.attempt().number,
+            target: target.unwrap_or_default(),
+            position: match item {
+                StreamItem::Token { position, .. } => *position,
+                StreamItem::End { length, .. } => *length,
+            },
+        }
+    }
+
+    /// Writes the first token and the outcome of the request to the log and the metrics.
+    fn record(&mut self, result: &Result<StreamItem, Refusal>) {
+        let now = self.entry.clock.now();
+        let class = self.request.cost.class();
+        if self.first.is_none() && result.is_ok() {
+            self.first = Some(now);
+            record::first_token(class, now.saturating_duration_since(self.received));
+        }
+        let done = Completed {
+            request: self.request.id,
+            class,
+            attempts: self.request.attempt().number,
+            first: self.first.map(|first| first.saturating_duration_since(self.received)),
+            total: now.saturating_duration_since(self.received),
+        };
+        match result {
+            Ok(StreamItem::Token { .. }) => {}
+            Ok(StreamItem::End { length, .. }) => record::answered(&done, *length),
+            Err(refusal) => record::failed(&done, refusal),
         }
     }
 
@@ -102,6 +166,9 @@
 
     /// Makes attempts until a target takes the request.
     async fn connect(&mut self) -> Result<Source, Refusal> {
+        if let Some(source) = self.resume().await {
+            return Ok(source);
+        }
         loop {
             let Some(target) = self.choose()? else {
                 self.wait().await?;
@@ -116,6 +183,20 @@
         }
     }
 
+    /// Asks the target of an earlier connection for the rest of its stream.
+    async fn resume(&mut self) -> Option<Source> {
+        let target = self.holder.take()?;
+        let sent = attempt::resume(&self.entry, &self.request, &self.call, &target).await;
+        match sent {
+            Ok(attempt) => Some(Source { attempt, leases: None }),
+            // The target no longer has the stream, so that the answer is generated again.
+            Err(_) => {
+                self.request.cursor().next_attempt();
+                None
+            }
+        }
+    }
+
     async fn attempt(&self, target: &Choice) -> Result<Source, Refusal> {
         match target {
             Choice::One(target) => {
--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -167,6 +167,8 @@
         revision: fleet.revision,
         cost: Cost::default(),
         lease: None,
+        hold: false,
+        resume: None,
     };
     let mut headers = work.to_headers().map_err(|_| refused(Reason::MalformedRequest))?;
     if let Some(content_type) = &call.content_type {
--- a/entry/src/dispatch/attempt.rs
+++ b/entry/src/dispatch/attempt.rs
@@ -92,6 +92,7 @@
         position: request.attempt().position,
         lease,
         previous,
+        sampling: call.prompt.sampling.clone(),
     };
     let body = serde_json::to_vec(&completion).map_err(|_| malformed())?;
     let headers = work_headers(entry, request, call, lease);
@@ -115,9 +116,27 @@
         revision: call.fleet.revision,
         cost: request.cost,
         lease,
+        hold: call.streamed,
+        resume: None,
     }
 }
 
+/// Asks `target` for the rest of a stream that it may still hold.
+pub(super) async fn resume(
+    entry: &Arc<Entry>,
+    request: &Request<Admitted>,
+    call: &PromptCall,
+    target: &str,
+) -> Result<Attempt, Refusal> {
+    let tally = Tally::new(entry, target, Cost::default());
+    let mut headers = work_headers(entry, request, call, None);
+    headers.resume = Some(request.attempt().position);
+    // The engine holds the memory of the stream already.
+    headers.cost = Cost::default();
+    let answer = post(entry, call, target, "/work/completions", headers, Bytes::new()).await?;
+    Ok(Attempt { events: Events::new(answer.into_body()), tally })
+}
+
 /// Posts work to the agent of `target` and returns its answer, unless it is a refusal.
 pub(super) async fn post(
     entry: &Entry,
--- a/entry/src/dispatch/mod.rs
+++ b/entry/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod large;
 mod pace;
+mod record;
 
 pub(crate) use self::{
     answer::{Answer, Prompt, PromptCall},
--- a/lib/src/request/cursor.rs
+++ b/lib/src/request/cursor.rs
@@ -41,9 +41,9 @@
 }
 
 impl Cursor {
-    /// Returns a cursor whose caller has seen all tokens before `next`.
-    pub fn new(next: Position) -> Self {
-        Self { attempt: 1, next, ended: false }
+    /// Returns a cursor at attempt `attempt` whose caller has seen all tokens before `next`.
+    pub fn new(attempt: AttemptNumber, next: Position) -> Self {
+        Self { attempt, next, ended: false }
     }
 
     /// Starts the next attempt; items of older attempts are dropped from now on.
--- a/lib/src/request/lifecycle.rs
+++ b/lib/src/request/lifecycle.rs
@@ -51,9 +51,9 @@
         Self { id, team, cost, deadline, state: Received }
     }
 
-    /// Admits the request; its caller has seen all tokens before `position`.
-    pub fn admit(self, position: Position, repeatable: bool) -> Request<Admitted> {
-        let state = Admitted { cursor: Cursor::new(position), dispatched: false, repeatable };
+    /// Admits the request; `cursor` says what its caller has seen.
+    pub fn admit(self, cursor: Cursor, repeatable: bool) -> Request<Admitted> {
+        let state = Admitted { cursor, dispatched: false, repeatable };
         Request { id: self.id, team: self.team, cost: self.cost, deadline: self.deadline, state }
     }
 }
--- a/runtime/src/platform/engine.rs
+++ b/runtime/src/platform/engine.rs
@@ -8,7 +8,8 @@
 };
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, time::Duration};
+use serde_json::Value;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Longest time for a call that does no generation.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -99,6 +100,9 @@
     /// State of the segments before this prompt.
     #[serde(default)]
     pub previous: Option<String>,
+    /// Sampling parameters of the published interface, passed on as the caller gave them.
+    #[serde(flatten)]
+    pub sampling: BTreeMap<String, Value>,
 }
 
 /// Body of `POST /kv/{lease}/prefill`.
--- a/runtime/src/work.rs
+++ b/runtime/src/work.rs
@@ -2,7 +2,7 @@
 
 use fulmarhead_lib::{
     cost::Cost,
-    ids::{AttemptNumber, LeaseId, RequestId, Revision, TeamId},
+    ids::{AttemptNumber, LeaseId, Position, RequestId, Revision, TeamId},
 };
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, InvalidHeaderValue};
 use std::{str::FromStr, time::Duration};
@@ -17,6 +17,9 @@
 const OUTPUT: HeaderName = HeaderName::from_static("fh-output-tokens");
 const LEASE: HeaderName = HeaderName::from_static("fh-lease");
 
+const HOLD: HeaderName = HeaderName::from_static("fh-hold");
+const RESUME: HeaderName = HeaderName::from_static("fh-resume-from");
+
 /// Marks the body of a refused answer, as opposed to an error of the target itself.
 pub const REFUSAL: HeaderName = HeaderName::from_static("fh-refusal");
 
@@ -42,6 +45,10 @@
     pub cost: Cost,
     /// Lease on engine memory.
     pub lease: Option<LeaseId>,
+    /// Whether to keep the stream for a while when its reader goes away.
+    pub hold: bool,
+    /// Position from which to resume a kept stream.
+    pub resume: Option<Position>,
 }
 
 /// Why headers are refused.
@@ -70,6 +77,12 @@
         if let Some(lease) = self.lease {
             headers.insert(LEASE, HeaderValue::from_str(&lease.to_string())?);
         }
+        if self.hold {
+            headers.insert(HOLD, HeaderValue::from_static("1"));
+        }
+        if let Some(position) = self.resume {
+            headers.insert(RESUME, position.into());
+        }
         Ok(headers)
     }
 
@@ -86,14 +99,24 @@
                 prompt: read(headers, &PROMPT, "fh-prompt-tokens")?,
                 output: read(headers, &OUTPUT, "fh-output-tokens")?,
             },
-            lease: match headers.contains_key(LEASE) {
-                true => Some(read(headers, &LEASE, "fh-lease")?),
-                false => None,
-            },
+            lease: read_optional(headers, &LEASE, "fh-lease")?,
+            hold: headers.contains_key(HOLD),
+            resume: read_optional(headers, &RESUME, "fh-resume-from")?,
         })
     }
 }
 
+fn read_optional<T: FromStr>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    text: &'static str,
+) -> Result<Option<T>, HeaderError> {
+    match headers.contains_key(name) {
+        true => read(headers, name, text).map(Some),
+        false => Ok(None),
+    }
+}
+
 fn read<T: FromStr>(
     headers: &HeaderMap,
     name: &HeaderName,
