--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -257,9 +257,8 @@
     }
 
     /// Returns whether what the agent believes is current enough to change its target.
-    pub(crate) fn may_roll_out(&self, now: Instant) -> bool {
-        let paused = now.saturating_duration_since(self.ticked) > STALE_AFTER;
-        self.seen && !self.unsynced && !self.stopping && !paused
+    pub(crate) fn may_roll_out(&self, target: &str, now: Instant) -> bool {
+        !self.stopping && self.phase(target, now) != Phase::Starting
     }
 
     fn is_changing(&self) -> bool {
--- a/agent/src/rollout/task.rs
+++ b/agent/src/rollout/task.rs
@@ -41,7 +41,7 @@
 fn ready(agent: &Agent) -> Option<Arc<Fleet>> {
     let now = agent.clock.now();
     let mut core = agent.core();
-    if !core.may_roll_out(now) {
+    if !core.may_roll_out(&agent.settings.target, now) {
         return None;
     }
     let fencing = core.load.fencing;
@@ -54,7 +54,7 @@
 fn decide(agent: &Agent, reports: &Reports) -> Option<Step> {
     let now = agent.clock.now();
     let mut core = agent.core();
-    if !core.may_roll_out(now) {
+    if !core.may_roll_out(&agent.settings.target, now) {
         return None;
     }
     let Core { view, rollout, load, admission, leases, held, .. } = &mut *core;
