--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -159,6 +159,9 @@
             Ok(Adoption::Adopted) => {
                 core.unsynced = false;
                 info!(revision = offered; "configuration adopted");
+                if let Some(fleet) = core.view.fleet() {
+                    core.admission.set_long_share(fleet.policy.long_share);
+                }
             }
             Ok(_) => core.unsynced = false,
             Err(error) => error!(revision = offered, error:%; "configuration refused"),
@@ -275,10 +278,13 @@
 
     /// Returns the load for entries.
     pub(crate) fn load_report(&self) -> Load {
+        let queue = self.admission.queue();
         Load {
             running: self.admission.running(),
             cap: self.admission.limit(),
-            prefill: self.admission.prefill(),
+            prefill: queue.all(),
+            medium_prefill: queue.medium,
+            long_prefill: queue.long,
             kv_used: self.leases.used() + self.admission.memory(),
             kv_total: self.load.kv_total,
             prefill_rate: self.load.prefill_rate,
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -12,10 +12,11 @@
     response::Response,
 };
 use fulmarhead_lib::{
-    admission::Work,
+    admission::{Room, Work},
     cost::Cost,
     outcome::{Reason, Refusal},
     request::Deadline,
+    routing::is_aged,
 };
 use fulmarhead_runtime::{http::Endpoint, work::WorkHeaders};
 use log::info;
@@ -67,8 +68,14 @@
         Some(_) => (Cost { output: 0, ..work.cost }, u64::MAX),
         None => (work.cost, unleased),
     };
-    let asked = Work { request: work.request, cost, remaining: work.remaining };
-    let result = core.admission.admit(asked, work.attempt, unleased);
+    let asked = Work {
+        request: work.request,
+        cost,
+        remaining: work.remaining,
+        aged: is_aged(work.priority, cost.class()),
+    };
+    let room = Room { unleased, total: core.load.kv_total, rate: core.load.prefill_rate };
+    let result = core.admission.admit(asked, work.attempt, room, now);
     let (running, cap) = (core.admission.running(), core.admission.limit());
     let revision = core.view.revision();
     drop(core);
--- a/entry/src/callers/completions.rs
+++ b/entry/src/callers/completions.rs
@@ -20,7 +20,7 @@
 use fulmarhead_lib::{
     cost::Cost,
     ids::{AttemptNumber, Position, RequestId},
-    outcome::{Reason, Refusal},
+    outcome::{Outcome, Reason, Refusal},
     request::{Admitted, Cursor, EventId, Request, StreamItem},
 };
 use futures::{Stream, stream};
@@ -81,10 +81,17 @@
     let header =
         Header { style, request: id, created: entry.clock.wall(), model: prompt.model.clone() };
     let priority = caller.team.priority;
-    let call = PromptCall { prompt, priority, streamed, fleet: caller.fleet };
+    let fleet = Arc::clone(&caller.fleet);
+    let call = PromptCall { prompt, priority, streamed, fleet };
     let holder = seen.map(|seen| seen.target);
     let mut answer = Answer::new(Arc::clone(entry), request, call, holder);
-    let first = answer.next().await?;
+    let first = match answer.next().await {
+        Ok(first) => first,
+        Err(refusal) => {
+            refund(entry, &caller, cost, &refusal);
+            return Err(refusal);
+        }
+    };
     if streamed {
         return Ok(Sse::new(events(answer, header, first)).into_response());
     }
@@ -137,6 +144,13 @@
     Ok(request.admit(cursor, true))
 }
 
+/// Gives a team back what a request was charged that has not run.
+fn refund(entry: &Entry, caller: &Caller, cost: Cost, refusal: &Refusal) {
+    if refusal.outcome == Outcome::NotRun {
+        entry.core().teams.refund(&caller.team.id, caller.budget(), cost.kv());
+    }
+}
+
 /// Collects the whole answer.
 async fn whole(
     mut answer: Answer,
--- a/entry/src/callers/keys.rs
+++ b/entry/src/callers/keys.rs
@@ -8,10 +8,10 @@
     http::{HeaderMap, StatusCode},
 };
 use fulmarhead_lib::{
-    cost::Cost,
     ids::{ApplicationId, RequestId},
     keys::IdempotencyKey,
     outcome::{Reason, Refusal},
+    routing::{Decision, Need},
 };
 use log::info;
 use serde_json::{Value, json};
@@ -42,8 +42,12 @@
     let now = entry.clock.now();
     let draw = RequestId::new_v4().as_u64_pair().0;
     let mut core = entry.core();
-    let candidates = core.known.workers(&caller.fleet, application, &BTreeSet::new(), now);
-    let chosen = core.router.choose(Cost::default(), &candidates, draw);
+    let candidates = core.known.workers(application, &BTreeSet::new(), draw, now);
+    let chosen = match core.router.decide(Need::default(), &candidates, draw) {
+        Decision::Send(candidate) => Some(candidate),
+        // The call comes later, so that a worker without room now is as good as another one.
+        Decision::Wait | Decision::Refuse(_) => candidates.first(),
+    };
     let target = chosen.ok_or(Refusal::not_run(Reason::NoTarget))?.target.clone();
     let incarnation = core.known.incarnation(&target);
     drop(core);
--- a/entry/src/dispatch/answer.rs
+++ b/entry/src/dispatch/answer.rs
@@ -5,11 +5,12 @@
     large::{self, Leases},
     pace::Pace,
     record::{self, Completed},
+    search::{Choice, Search},
 };
 use crate::entry::Entry;
 use fulmarhead_lib::{
     config::Fleet,
-    ids::{ModelId, RequestId, TargetId, Tokens},
+    ids::{ModelId, TargetId, Tokens},
     outcome::{Outcome, Reason, Refusal},
     request::{Admitted, EventId, Request, StreamItem, Verdict},
 };
@@ -46,7 +47,12 @@
     /// Target that may still hold the stream of an earlier connection.
     holder: Option<TargetId>,
     source: Option<Source>,
+    search: Search,
     pace: Pace,
+    /// Priority of the team.
+    priority: u8,
+    /// Whether an attempt was sent and may have run.
+    ran: bool,
     received: Instant,
     first: Option<Instant>,
 }
@@ -68,7 +74,11 @@
         holder: Option<TargetId>,
     ) -> Self {
         let received = entry.clock.now();
+        let search = Search::new(&entry, &request, &call);
         Self {
+            priority: call.priority,
+            ran: false,
+            search,
             entry,
             request,
             call,
@@ -87,10 +97,19 @@
             Ok(result) => result,
             Err(_) => Err(self.request.expire()),
         };
+        let result = result.map_err(|refusal| self.truthful(refusal));
         self.record(&result);
         result
     }
 
+    /// Returns a refusal that does not say of a request that it has not run when it may have.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal.outcome {
+            Outcome::NotRun if self.ran => Refusal { outcome: Outcome::Failed, ..refusal },
+            _ => refusal,
+        }
+    }
+
     /// Returns the identifier of the event for the item that was returned last.
     pub(crate) fn event_id(&self, item: &StreamItem) -> EventId {
         let target = self.source.as_ref().map(|source| source.attempt.tally.target().to_owned());
@@ -159,6 +178,8 @@
         if !self.entry.core().retries.withdraw() {
             return Err(failed);
         }
+        self.ran = true;
+        self.search.restart(self.entry.clock.now());
         self.pace.refused(&target, failed);
         self.request.cursor().next_attempt();
         Ok(())
@@ -176,7 +197,10 @@
             };
             self.request.dispatch();
             let refusal = match self.attempt(&target).await {
-                Ok(source) => return Ok(source),
+                Ok(source) => {
+                    self.search.found(&self.entry, &target);
+                    return Ok(source);
+                }
                 Err(refusal) => refusal,
             };
             self.refused(&target, refusal)?;
@@ -218,34 +242,36 @@
         let entry = Arc::clone(&self.entry);
         // Each attempt is decided by the configuration in force, not by the one at admission.
         self.call.fleet = entry.fleet()?;
-        let now = entry.clock.now();
-        let draw = RequestId::new_v4().as_u64_pair().0;
-        let mut core = entry.core();
-        let model = &self.call.prompt.model;
-        let candidates = core.known.engines(&self.call.fleet, model, self.pace.tried(), now);
-        let largest = candidates.iter().map(|candidate| candidate.load.kv_total).max();
-        if largest.is_some_and(|largest| self.request.cost.kv() > largest) {
-            return Ok(Some(Choice::Several));
-        }
-        let cost = self.request.cost;
-        let chosen = core.router.choose(cost, &candidates, draw);
-        let chosen = chosen.map(|candidate| candidate.target.clone());
-        drop(core);
-        if let Some(target) = &chosen {
+        let tried = self.pace.tried();
+        let choice = self.search.choose(&entry, &self.request, &self.call, tried)?;
+        let need = self.search.need(&self.request, entry.clock.now());
+        self.call.priority = need.priority(self.priority);
+        if let Some(Choice::One(target)) = &choice {
             let attempt = self.request.attempt();
             info!(
                 target: "decision", request:% = attempt.request, attempt = attempt.number,
-                target_id = target, candidates = candidates.len();
+                target_id = target, priority = self.call.priority;
                 "target chosen"
             );
         }
-        Ok(chosen.map(Choice::One))
+        Ok(choice)
+    }
+
+    /// Remembers a target that has no room, so that other requests of the class do not try it.
+    fn note(&self, target: &Choice, refusal: &Refusal) {
+        let (Choice::One(target), Some(wait)) = (target, refusal.retry_after) else { return };
+        let until = self.entry.clock.now() + wait;
+        let class = self.request.cost.class();
+        self.entry.core().known.directory.refused(target, class, until);
     }
 
     fn refused(&mut self, target: &Choice, refusal: Refusal) -> Result<(), Refusal> {
         if refusal.outcome == Outcome::NotRun {
             self.request.refused();
+        } else {
+            self.ran = true;
         }
+        self.note(target, &refusal);
         if !self.request.may_retry(&refusal, self.entry.clock.now()) {
             return Err(refusal);
         }
@@ -272,14 +298,6 @@
     }
 }
 
-/// Where an attempt goes.
-enum Choice {
-    /// To one engine.
-    One(TargetId),
-    /// To several engines that hold the prompt together.
-    Several,
-}
-
 impl Source {
     async fn next(&mut self) -> Option<StreamItem> {
         match &mut self.leases {
--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -18,6 +18,7 @@
     keys::IdempotencyKey,
     outcome::{Outcome, Reason, Refusal},
     request::{Admitted, Request},
+    routing::{Decision, Need},
 };
 use fulmarhead_runtime::{
     http::Endpoint,
@@ -130,13 +131,14 @@
     if pace.is_round_over() {
         return None;
     }
-    let fleet = entry.fleet().ok()?;
     let draw = RequestId::new_v4().as_u64_pair().0;
     let now = entry.clock.now();
     let mut core = entry.core();
-    let candidates = core.known.workers(&fleet, &call.application, pace.tried(), now);
-    let chosen = core.router.choose(Cost::default(), &candidates, draw)?;
-    Some(chosen.target.clone())
+    let candidates = core.known.workers(&call.application, pace.tried(), draw, now);
+    match core.router.decide(Need::default(), &candidates, draw) {
+        Decision::Send(candidate) => Some(candidate.target.clone()),
+        Decision::Wait | Decision::Refuse(_) => None,
+    }
 }
 
 /// Why a call got no answer.
@@ -191,7 +193,7 @@
         answer = sent => answer.map_err(|_| Lost::Connection)?,
         () = entry.target_lost(target) => return Err(Lost::Connection),
     };
-    entry.observe(target, answer.headers());
+    entry.observe(target, answer.headers(), None);
     if answer.headers().contains_key(REFUSAL) {
         return Err(Lost::Refused(read_refusal(answer).await));
     }
--- a/entry/src/dispatch/attempt.rs
+++ b/entry/src/dispatch/attempt.rs
@@ -34,7 +34,7 @@
             item = self.events.next() => item.ok(),
             () = self.tally.entry.target_lost(&self.tally.target) => None,
         };
-        self.tally.first_token();
+        self.tally.waiting = false;
         item
     }
 }
@@ -43,14 +43,19 @@
 pub(super) struct Tally {
     entry: Arc<Entry>,
     target: TargetId,
-    waiting: u64,
+    cost: Cost,
+    /// Whether the agent has neither taken nor refused the attempt yet.
+    open: bool,
+    /// Whether the first token did not come yet.
+    waiting: bool,
 }
 
 impl Tally {
     /// Counts an attempt that is about to be sent.
     pub(super) fn new(entry: &Arc<Entry>, target: &str, cost: Cost) -> Self {
-        entry.core().known.begin(target, cost.prompt);
-        Self { entry: Arc::clone(entry), target: target.to_owned(), waiting: cost.prompt }
+        entry.core().known.directory.begin(target, cost);
+        let (entry, target) = (Arc::clone(entry), target.to_owned());
+        Self { entry, target, cost, open: true, waiting: true }
     }
 
     /// Returns the target of the attempt.
@@ -58,18 +63,19 @@
         &self.target
     }
 
-    fn first_token(&mut self) {
-        if self.waiting > 0 {
-            self.entry.core().known.first_token(&self.target, self.waiting);
-            self.waiting = 0;
+    /// Records that the agent has taken or refused the attempt.
+    fn answered(&mut self) {
+        if self.open {
+            self.open = false;
+            self.entry.core().known.directory.answered(&self.target, self.cost);
         }
     }
 }
 
 impl Drop for Tally {
     fn drop(&mut self) {
-        self.first_token();
-        self.entry.core().known.end(&self.target);
+        self.answered();
+        self.entry.core().known.directory.end(&self.target, self.cost, self.waiting);
     }
 }
 
@@ -81,7 +87,12 @@
     target: &str,
     lease: Option<(LeaseId, String)>,
 ) -> Result<Attempt, Refusal> {
-    let tally = Tally::new(entry, target, request.cost);
+    // The prefill of a prompt under a lease is done, and the lease counts its memory.
+    let cost = match lease {
+        Some(_) => Cost { prompt: 0, output: 0 },
+        None => request.cost,
+    };
+    let mut tally = Tally::new(entry, target, cost);
     let (lease, previous) = lease.unzip();
     let completion = Completion {
         model: call.prompt.model.clone(),
@@ -98,8 +109,10 @@
         sampling: call.prompt.sampling.clone(),
     };
     let body = serde_json::to_vec(&completion).map_err(|_| malformed())?;
-    let headers = work_headers(entry, request, call, lease);
+    let mut headers = work_headers(entry, request, call, lease);
+    headers.cost = cost;
     let answer = post(entry, call, target, "/work/completions", headers, body.into()).await?;
+    tally.answered();
     Ok(Attempt { events: Events::new(answer.into_body()), tally })
 }
 
@@ -158,7 +171,8 @@
         () = entry.target_lost(target) => return Err(Refusal::failed(Reason::TargetFailed)),
     };
     if let Ok(answer) = &answer {
-        entry.observe(target, answer.headers());
+        let taken = answer.status().is_success().then_some(work.cost);
+        entry.observe(target, answer.headers(), taken);
     }
     match answer {
         Ok(answer) if answer.status().is_success() => Ok(answer),
--- a/entry/src/dispatch/large.rs
+++ b/entry/src/dispatch/large.rs
@@ -6,6 +6,7 @@
 };
 use crate::entry::Entry;
 use fulmarhead_lib::{
+    admission::short_memory,
     control::LeaseRequest,
     cost::{BYTES_PER_TOKEN, Cost},
     ids::{RequestId, TargetId},
@@ -18,7 +19,7 @@
     platform::engine::{Segment, SegmentState},
 };
 use log::info;
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// Time between two renewals of a lease, a third of its period.
@@ -104,14 +105,14 @@
     let now = entry.clock.now();
     let model = &call.prompt.model;
     let core = entry.core();
-    let candidates = core.known.engines(&call.fleet, model, &BTreeSet::new(), now);
+    let candidates = core.known.engines(model, now);
     drop(core);
     let rooms: Vec<Room> = candidates
         .into_iter()
         .map(|candidate| Room {
-            target: candidate.target,
             total: candidate.load.kv_total,
-            free: candidate.load.kv_total.saturating_sub(candidate.load.kv_used),
+            free: candidate.free().saturating_sub(short_memory(candidate.load.kv_total)),
+            target: candidate.target,
         })
         .collect();
     let margin = SHARE_MARGIN * rooms.len() as u64;
--- a/entry/src/dispatch/mod.rs
+++ b/entry/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod large;
 mod pace;
 mod record;
+mod search;
 
 pub(crate) use self::{
     answer::{Answer, Prompt, PromptCall},
--- a/entry/src/dispatch/pace.rs
+++ b/entry/src/dispatch/pace.rs
@@ -12,8 +12,8 @@
 /// Wait after the first round of refusals; each further round doubles it.
 const FIRST_WAIT: Duration = Duration::from_millis(20);
 
-/// Longest wait between two rounds.
-const LONGEST_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait between two rounds; a round without a target that has room sends nothing.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
 
 /// Pace of the attempts of one request.
 #[derive(Clone, Debug)]
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -4,15 +4,17 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     config::{Adoption, Bundle, ConfigView, Fleet},
-    ids::{LeaseId, Revision, TargetId},
-    limits::{RetryBudget, RetrySettings, TeamLimiter},
+    cost::Cost,
+    ids::{LeaseId, ModelId, Revision, TargetId},
+    limits::{RetryBudget, RetrySettings, TeamLimiter, ZoneReserve},
     outcome::{Reason, Refusal},
-    routing::{Router, RouterSettings},
+    routing::{Affinity, Backlog, Router, RouterSettings},
 };
 use fulmarhead_runtime::{http::Client, process::Readiness, work::read_load};
 use hyper::HeaderMap;
 use log::{error, info};
 use std::{
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -49,9 +51,28 @@
     pub(crate) router: Router,
     pub(crate) teams: TeamLimiter,
     pub(crate) retries: RetryBudget,
+    pub(crate) affinity: Affinity,
+    pub(crate) flows: BTreeMap<ModelId, Flow>,
     pub(crate) stopping: bool,
 }
 
+/// What one entry sends to the engines of one model.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Flow {
+    pub(crate) backlog: Backlog,
+    pub(crate) reserve: ZoneReserve,
+}
+
+impl Core {
+    /// Takes over a configuration.
+    fn configure(&mut self, fleet: &Fleet) {
+        self.known.retain(fleet);
+        self.router.configure(fleet.entries.len(), fleet.policy.long_share);
+        let teams: BTreeSet<&str> = fleet.teams.iter().map(|team| &*team.id).collect();
+        self.teams.retain(|team| teams.contains(team));
+    }
+}
+
 /// The queue of leases to release, for the task that works it off.
 #[derive(Clone)]
 pub struct ReleaseQueue(pub(crate) Arc<tokio::sync::Mutex<mpsc::Receiver<Release>>>);
@@ -63,12 +84,19 @@
         clock: SharedClock,
         readiness: Readiness,
     ) -> (Arc<Self>, ReleaseQueue) {
+        let router = RouterSettings {
+            policy: settings.policy,
+            zone: settings.zone.clone(),
+            ..RouterSettings::default()
+        };
         let core = Core {
             view: ConfigView::default(),
             known: KnownTargets::default(),
-            router: Router::new(RouterSettings { policy: settings.policy }),
+            router: Router::new(router),
             teams: TeamLimiter::default(),
             retries: RetryBudget::new(RetrySettings::default()),
+            affinity: Affinity::default(),
+            flows: BTreeMap::new(),
             stopping: false,
         };
         let (releases, queue) = mpsc::channel(RELEASE_QUEUE);
@@ -89,10 +117,11 @@
         self.core.lock().expect("no holder of the lock panics")
     }
 
-    /// Records the load in the headers of an agent's answer.
-    pub(crate) fn observe(&self, target: &str, headers: &HeaderMap) {
+    /// Records the load in the headers of an agent's answer; `taken` is the cost of the attempt
+    /// if the agent has taken it and its load shows that.
+    pub(crate) fn observe(&self, target: &str, headers: &HeaderMap, taken: Option<Cost>) {
         if let Some(load) = read_load(headers) {
-            self.core().known.load(target, load);
+            self.core().known.load(target, load, taken, self.clock.now());
         }
     }
 
@@ -120,7 +149,7 @@
         let result = core.view.offer(bundle);
         let revision = core.view.revision();
         if let (Ok(Adoption::Adopted), Some(fleet)) = (&result, core.view.fleet()) {
-            core.known.retain(&fleet);
+            core.configure(&fleet);
         }
         let ready = core.view.fleet().is_some() && !core.stopping;
         drop(core);
--- a/lib/src/admission/controller.rs
+++ b/lib/src/admission/controller.rs
@@ -1,8 +1,12 @@
 //! The admission controller of an agent.
 
-use super::cap::{Cap, CapSettings};
+use super::{
+    cap::{Cap, CapSettings},
+    queue::{Queue, QueueSettings, short_memory},
+    turn::Turn,
+};
 use crate::{
-    cost::Cost,
+    cost::{Cost, LengthClass},
     ids::{AttemptNumber, RequestId, Tokens},
     outcome::{Reason, Refusal},
 };
@@ -34,20 +38,23 @@
 }
 
 /// Settings of an admission controller.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AdmissionSettings {
     /// Cap on concurrent requests.
     pub cap: CapSettings,
-    /// Share of the running prefill that long prompts may hold, from 0 to 1.
-    pub long_share: f64,
-    /// Most tokens of prefill that may wait at the target.
-    pub max_prefill: Tokens,
+    /// Bounds on the prefill that waits.
+    pub queue: QueueSettings,
 }
 
-impl Default for AdmissionSettings {
-    fn default() -> Self {
-        Self { cap: CapSettings::default(), long_share: 0.5, max_prefill: 1_200_000 }
-    }
+/// What the target has for new work at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Memory that no lease holds, in tokens.
+    pub unleased: Tokens,
+    /// All memory, in tokens; 0 for an application.
+    pub total: Tokens,
+    /// Prefill rate, in tokens a second; 0 for an application.
+    pub rate: Tokens,
 }
 
 /// A piece of work that asks for admission.
@@ -59,6 +66,8 @@
     pub cost: Cost,
     /// Remaining time limit.
     pub remaining: Duration,
+    /// Whether the request has waited so long that it goes before others.
+    pub aged: bool,
 }
 
 /// Decides what a target takes.
@@ -67,6 +76,7 @@
     settings: AdmissionSettings,
     phase: Phase,
     cap: Cap,
+    turn: Turn,
     running: BTreeMap<(RequestId, AttemptNumber), Running>,
 }
 
@@ -80,7 +90,13 @@
     /// Returns the controller of a cold target that does not serve yet.
     pub fn new(settings: AdmissionSettings, now: Instant) -> Self {
         let cap = Cap::new(settings.cap, now);
-        Self { settings, phase: Phase::Starting, cap, running: BTreeMap::new() }
+        Self {
+            settings,
+            phase: Phase::Starting,
+            cap,
+            turn: Turn::default(),
+            running: BTreeMap::new(),
+        }
     }
 
     /// Sets whether the target takes new work.
@@ -93,31 +109,65 @@
         self.phase
     }
 
+    /// Sets the share of the waiting prefill that prompts over 8,000 tokens may have.
+    pub fn set_long_share(&mut self, share: f64) {
+        self.settings.queue.long_share = share;
+    }
+
     /// Admits attempt `attempt` of `work`, or says why the target can't take it.
-    ///
-    /// `unleased` is the memory that no lease holds, in tokens.
     pub fn admit(
         &mut self,
         work: Work,
         attempt: AttemptNumber,
-        unleased: Tokens,
+        room: Room,
+        now: Instant,
     ) -> Result<(), Refusal> {
         self.check_phase()?;
         if work.remaining.is_zero() {
             return Err(Refusal::not_run(Reason::DeadlineExceeded));
         }
+        let result = self.check_cap().and_then(|()| self.check_room(work, room, now));
+        match result {
+            Ok(()) => self.turn.admitted(work.request),
+            Err(_) if work.aged => self.turn.refused(work.request, now),
+            Err(_) => {}
+        }
+        result?;
+        self.running.insert((work.request, attempt), Running { cost: work.cost, prefill: true });
+        Ok(())
+    }
+
+    fn check_cap(&self) -> Result<(), Refusal> {
         if self.running.len() as u32 >= self.cap.limit() {
             let reason = if self.cap.is_cold() { Reason::ColdStart } else { Reason::Overloaded };
             return Err(Refusal::not_run(reason).after(RETRY_AFTER));
         }
-        let queued = self.prefill();
-        if queued > 0 && queued + work.cost.prompt > self.settings.max_prefill {
+        Ok(())
+    }
+
+    fn check_room(&self, work: Work, room: Room, now: Instant) -> Result<(), Refusal> {
+        if room.unleased == Tokens::MAX {
+            return Ok(());
+        }
+        let overloaded = Refusal::not_run(Reason::Overloaded).after(RETRY_AFTER);
+        let queue = self.queue();
+        let long = work.cost.class() > LengthClass::Short;
+        if long && self.turn.holds_back(work.request, now) {
+            return Err(overloaded);
+        }
+        if !self.settings.queue.takes(work.cost, queue, room.rate) {
+            return Err(overloaded);
+        }
+        let ahead = queue.ahead(work.cost.class()) + work.cost.prompt;
+        let time = Cost::prefill_time(ahead, room.rate);
+        if room.rate > 0 && time > work.remaining {
+            // Another target may be in time, so that the reason has to allow another try.
             return Err(Refusal::not_run(Reason::Overloaded).after(RETRY_AFTER));
         }
-        if self.memory() + work.cost.kv() > unleased {
+        let kept = if long { short_memory(room.total) } else { 0 };
+        if self.memory() + work.cost.kv() + kept > room.unleased {
             return Err(Refusal::not_run(Reason::NoMemory).after(RETRY_AFTER));
         }
-        self.running.insert((work.request, attempt), Running { cost: work.cost, prefill: true });
         Ok(())
     }
 
@@ -151,13 +201,13 @@
         self.cap.limit()
     }
 
-    /// Returns the tokens of prompts whose prefill has not ended.
-    pub fn prefill(&self) -> Tokens {
-        self.running
-            .values()
-            .filter(|running| running.prefill)
-            .map(|running| running.cost.prompt)
-            .sum()
+    /// Returns the prompts whose prefill has not ended.
+    pub fn queue(&self) -> Queue {
+        let mut queue = Queue::default();
+        for running in self.running.values().filter(|running| running.prefill) {
+            queue.add(running.cost);
+        }
+        queue
     }
 
     /// Returns the memory that running attempts may use, in tokens.
--- a/lib/src/config/document.rs
+++ b/lib/src/config/document.rs
@@ -188,9 +188,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
-    /// Share of an engine's prefill that prompts over 8,000 tokens may hold, from 0 to 1.
+    /// Share of prefill that long prompts may hold, from 0 to 1: at each engine the part of the
+    /// waiting prefill that prompts over 8,000 tokens may fill, and of the engines of a model the
+    /// part that takes prompts over 100,000 tokens. A lower share slows short prompts less and lets
+    /// long ones wait longer; one that has waited a quarter of its time limit may use every engine.
     pub long_share: f64,
-    /// Share of capacity that each zone keeps free for the loss of another, from 0 to 1.
+    /// Share of the prefill rate that is kept free for the loss of a zone, from 0 to 1. While all
+    /// zones serve, prompts over 8,000 tokens are admitted only up to the rest of the rate; once a
+    /// zone is out or silent, the remaining zones use all of theirs. With a third of three zones
+    /// the loss of one needs no further refusals.
     pub zone_reserve: f64,
 }
 
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -72,6 +72,12 @@
     pub cap: u32,
     /// Tokens of admitted prompts whose prefill has not ended.
     pub prefill: Tokens,
+    /// The part of `prefill` that belongs to prompts over 8,000 and up to 100,000 tokens.
+    #[serde(default)]
+    pub medium_prefill: Tokens,
+    /// The part of `prefill` that belongs to prompts over 100,000 tokens.
+    #[serde(default)]
+    pub long_prefill: Tokens,
     /// KV cache in use or leased, in tokens.
     pub kv_used: Tokens,
     /// KV cache of the engine, in tokens.
--- a/lib/src/cost.rs
+++ b/lib/src/cost.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::Tokens;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 use strum::{Display, EnumIter, EnumString};
 
 /// Average bytes of text in one token.
@@ -27,6 +28,22 @@
         self.prompt + self.output
     }
 
+    /// Returns how long an engine of `rate` tokens a second needs for `tokens` of prefill.
+    ///
+    /// An engine that reports no rate counts as one of a token a second.
+    pub fn prefill_time(tokens: Tokens, rate: Tokens) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / rate.max(1) as f64)
+    }
+
+    /// Returns the memory over time that the request holds, in token seconds, when its first
+    /// token comes after `first` and each further one after `step`.
+    pub fn memory_time(&self, first: Duration, step: Duration) -> f64 {
+        let decode = step.as_secs_f64() * self.output as f64;
+        // While the answer grows it holds half of its length on average.
+        let grown = self.prompt as f64 + self.output as f64 / 2.0;
+        self.prompt as f64 * first.as_secs_f64() + grown * decode
+    }
+
     /// Returns the class of the prompt's length.
     pub fn class(&self) -> LengthClass {
         match self.prompt {
--- /dev/null
+++ b/lib/tests/directory.rs
@@ -0,0 +1,210 @@
+//! What an entry knows of the targets, and which of them it looks at.
+
+use fulmarhead_lib::{
+    admission::Phase,
+    clock::Clock,
+    config::Fleet,
+    control::{Load, Progress, Report},
+    cost::{Cost, LengthClass},
+    ids::TargetId,
+    routing::{Affinity, Candidate, Directory, Prefixes, Query, Service},
+};
+use serde_json::json;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+use testutils::{ManualClock, cases};
+
+const SHORT: Cost = Cost { prompt: 4_000, output: 32 };
+
+const LOAD: Load = Load {
+    running: 0,
+    cap: 64,
+    prefill: 0,
+    medium_prefill: 0,
+    long_prefill: 0,
+    kv_used: 0,
+    kv_total: 450_000,
+    prefill_rate: 400_000,
+};
+
+fn report(target: &str, load: Load) -> Report {
+    Report {
+        target: target.to_owned(),
+        incarnation: 1,
+        revision: 1,
+        phase: Phase::Serving,
+        models: vec!["assistant".to_owned()],
+        application: None,
+        load,
+        progress: Progress::default(),
+    }
+}
+
+fn fleet(targets: usize, out: Option<&str>) -> Fleet {
+    let zone = |index: usize| ["a", "b", "c"][index % 3];
+    let target = |index| {
+        json!({
+            "id": format!("{index:05}"), "zone": zone(index), "kind": "engine",
+            "work": "127.0.0.1:1", "control": "127.0.0.1:1", "models": ["assistant"],
+        })
+    };
+    let zones = ["a", "b", "c"].map(|id| json!({ "id": id, "in_service": out != Some(id) }));
+    let text = json!({
+        "revision": 1, "zones": zones, "models": [{ "id": "assistant", "max_tokens": 1_000_000 }],
+        "targets": (0..targets).map(target).collect::<Vec<_>>(), "entries": [], "teams": [],
+    });
+    serde_json::from_value(text).unwrap()
+}
+
+fn directory(targets: usize, out: Option<&str>, now: Instant) -> Directory {
+    let mut directory = Directory::default();
+    directory.configure(&fleet(targets, out));
+    for index in 0..targets {
+        let id = format!("{index:05}");
+        directory.connect(&id, true);
+        directory.report(report(&id, LOAD), now);
+    }
+    directory
+}
+
+fn sample(directory: &Directory, class: LengthClass, now: Instant) -> Vec<Candidate> {
+    let service = Service::Model("assistant".to_owned());
+    let tried = BTreeSet::from(["00001".to_owned()]);
+    let query = Query { service: &service, class, tried: &tried, seed: 5, now };
+    directory.sample(query, &BTreeMap::new())
+}
+
+fn check_sample(targets: usize, out: Option<&str>, expected: usize) {
+    let now = ManualClock::default().now();
+    let directory = directory(targets, out, now);
+    let sample = sample(&directory, LengthClass::Short, now);
+    assert_eq!(sample.len(), expected);
+    assert!(sample.iter().all(|candidate| Some(&*candidate.zone) != out));
+    let distinct: BTreeSet<&TargetId> = sample.iter().map(|candidate| &candidate.target).collect();
+    assert_eq!(distinct.len(), expected, "a target is in the sample twice");
+}
+
+cases! {
+    check_sample {
+        /// Guards against a tried target that is chosen again.
+        small_group_is_whole: (12, None, 11),
+        /// Guards against new work for a zone that is out of service.
+        zone_out_is_left_out: (12, Some("b"), 8),
+        /// Guards against a look at every target of a large group.
+        large_group_is_sampled: (11_000, None, 12),
+        /// Guards against samples that targets out of service use up.
+        sample_is_full_with_a_zone_out: (11_000, Some("b"), 12),
+    }
+}
+
+/// Guards against a target that is chosen after its agent fell silent or its connection was lost.
+#[test]
+fn silent_targets_are_left_out() {
+    let clock = ManualClock::default();
+    let mut directory = directory(3, None, clock.now());
+    let service = Service::Model("assistant".to_owned());
+    directory.connect("00002", false);
+    assert_eq!(sample(&directory, LengthClass::Short, clock.now()).len(), 1);
+    assert!(directory.capacity(&service, clock.now()).zone_missing);
+    clock.advance(Duration::from_millis(3_001));
+    assert_eq!(sample(&directory, LengthClass::Short, clock.now()).len(), 0);
+}
+
+fn check_missing(out: Option<&str>, expected: bool) {
+    let now = ManualClock::default().now();
+    let mut directory = directory(6, out, now);
+    let service = Service::Model("assistant".to_owned());
+    assert_eq!(directory.capacity(&service, now).zone_missing, expected);
+}
+
+cases! {
+    check_missing {
+        /// Guards against a reserve that is never kept.
+        all_zones_serve: (None, false),
+        /// Guards against a reserve that stays closed when operators take a zone out.
+        zone_out_is_missing: (Some("b"), true),
+    }
+}
+
+/// Guards against sends that are counted twice or not at all around a report.
+#[test]
+fn reports_replace_what_agents_have_taken() {
+    let now = ManualClock::default().now();
+    let mut directory = directory(1, None, now);
+    let running = |directory: &Directory| sample(directory, LengthClass::Short, now)[0].running();
+    directory.begin("00000", SHORT);
+    directory.begin("00000", SHORT);
+    assert_eq!(running(&directory), 2);
+    directory.answered("00000", SHORT);
+    directory.report(report("00000", Load { running: 1, ..LOAD }), now);
+    assert_eq!(running(&directory), 2, "one is in the report, one is under way");
+    directory.answered("00000", SHORT);
+    directory.end("00000", SHORT, false);
+    directory.end("00000", SHORT, false);
+    directory.report(report("00000", LOAD), now);
+    assert_eq!(running(&directory), 0);
+}
+
+/// Guards against an attempt that counts twice once an answer brings the load of its agent.
+#[test]
+fn load_of_an_answer_shows_the_attempt() {
+    let now = ManualClock::default().now();
+    let mut directory = directory(1, None, now);
+    directory.begin("00000", SHORT);
+    directory.load("00000", Load { running: 1, ..LOAD }, Some(SHORT), now);
+    directory.answered("00000", SHORT);
+    assert_eq!(sample(&directory, LengthClass::Short, now)[0].running(), 1);
+    directory.end("00000", SHORT, false);
+    assert_eq!(sample(&directory, LengthClass::Short, now)[0].running(), 0);
+}
+
+/// Guards against a refusal of long work that keeps short work away.
+#[test]
+fn refusals_count_for_their_class() {
+    let now = ManualClock::default().now();
+    let mut directory = directory(1, None, now);
+    directory.refused("00000", LengthClass::Long, now + Duration::from_millis(200));
+    let refused = |class| sample(&directory, class, now)[0].refused;
+    assert_eq!((refused(LengthClass::Long), refused(LengthClass::Short)), (true, false));
+}
+
+/// Guards against a `long_share` without effect on the engines of long prompts.
+#[test]
+fn long_share_sets_the_engines_of_long_prompts() {
+    let now = ManualClock::default().now();
+    let mut directory = directory(13, None, now);
+    let count = |directory: &Directory| {
+        let sample = sample(directory, LengthClass::Long, now);
+        sample.iter().filter(|candidate| candidate.takes_long).count()
+    };
+    let mut counts = Vec::new();
+    for share in [0.0, 0.25, 0.5, 1.0] {
+        let mut fleet = fleet(13, None);
+        fleet.policy.long_share = share;
+        directory.configure(&fleet);
+        counts.push(count(&directory));
+    }
+    assert_eq!(counts, [1, 4, 7, 12]);
+}
+
+/// Guards against prefixes that are never found again and against a table without a bound.
+#[test]
+fn prefixes_are_remembered_for_a_while() {
+    let clock = ManualClock::default();
+    let mut affinity = Affinity::default();
+    let shared = "survey. ".repeat(1_000);
+    let first = Prefixes::of(&format!("{shared}{}", "one".repeat(4_000)));
+    let second = Prefixes::of(&format!("{shared}{}", "two".repeat(4_000)));
+    affinity.learn(&first, "00001", clock.now());
+    let favored = affinity.favored(&second, clock.now());
+    assert_eq!(favored, BTreeMap::from([("00001".to_owned(), 2_000)]));
+    clock.advance(Duration::from_secs(61));
+    assert!(affinity.favored(&second, clock.now()).is_empty());
+    for number in 0..5_000 {
+        let prompt = format!("{number:08}").repeat(500);
+        affinity.learn(&Prefixes::of(&prompt), "00002", clock.now());
+    }
+    assert_eq!(affinity.len(), 4_096);
+}
