gateway, platform: forward requests to targets on the shared platform

Why: the users run fulmarhead on their platform, where targets take requests from anyone and say themselves whether they ran one. The thin path: settings file, watches of the store, route table, targets, exchange between entries, one connection for each request, streams that go on at another target.

--- /dev/null
+++ b/gateway/src/gateway.rs
@@ -0,0 +1,169 @@
+//! State of a gateway and its decisions under one lock.
+
+use crate::peers::Roster;
+use fulmarhead_lib::{
+    clock::SharedClock,
+    forward::Failure,
+    ids::ServiceId,
+    limits::RetryWindow,
+    placement::Pool,
+    replica::Replica,
+    routes::{CallerLimits, Denial, RouteTable, Selected, Service},
+};
+use fulmarhead_platform::{NodeSettings, Store};
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+use tokio::sync::{Notify, watch};
+
+/// Part of the time until a revoked key must not work that the age of the configuration may use;
+/// the rest covers clocks that run at different rates.
+const FRESH_PART: f64 = 0.95;
+
+/// Age up to which a configuration is taken to show all routes and keys: two waits of a watch.
+const CERTAIN_AGE: Duration = Duration::from_millis(2_500);
+
+/// Why a request is not forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Refused {
+    /// The configuration does not allow it.
+    #[error("the configuration does not allow the request: {0}")]
+    Denied(#[from] Denial),
+    /// The entry can't tell whether the configuration allows it.
+    #[error("the entry can't serve the request: {0}")]
+    Unable(#[from] Failure),
+}
+
+/// A gateway.
+pub struct Gateway {
+    /// Settings of the process.
+    pub settings: NodeSettings,
+    pub(crate) clock: SharedClock,
+    pub(crate) store: Store,
+    pub(crate) roster: Roster,
+    pub(crate) version: watch::Sender<u64>,
+    pub(crate) work_ended: Notify,
+    core: Mutex<Core>,
+}
+
+/// What the decisions of a gateway work on.
+pub(crate) struct Core {
+    pub(crate) operator: Replica,
+    pub(crate) members: Replica,
+    pub(crate) list_trouble: Option<Instant>,
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) pool: Pool,
+    pub(crate) retries: BTreeMap<ServiceId, RetryWindow>,
+    pub(crate) stopping: bool,
+}
+
+impl Gateway {
+    /// Returns a gateway that starts without any state.
+    pub fn new(settings: NodeSettings, clock: SharedClock) -> Arc<Self> {
+        let core = Core {
+            operator: Replica::default(),
+            members: Replica::default(),
+            list_trouble: None,
+            table: None,
+            pool: Pool::new(settings.zone.clone()),
+            retries: BTreeMap::new(),
+            stopping: false,
+        };
+        let gateway = Self {
+            store: Store::new(settings.store),
+            roster: Roster::new(settings.control, &settings.seeds),
+            settings,
+            clock,
+            version: watch::Sender::new(0),
+            work_ended: Notify::new(),
+            core: Mutex::new(core),
+        };
+        Arc::new(gateway)
+    }
+
+    /// Locks the state; never held across an await.
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the number of entries that share the bounds of the fleet, at least 1.
+    pub(crate) fn entries(&self) -> usize {
+        self.roster.size()
+    }
+
+    /// Returns the limits of callers.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        self.core().table.as_ref().map(|table| table.limits()).unwrap_or_default()
+    }
+
+    /// Selects the route and the team of a request under the configuration in force.
+    ///
+    /// # Errors
+    /// `Denied` if the configuration does not allow the request; `Unable` if there is none, or
+    /// the one in force is too old for the key or for a denial.
+    pub(crate) fn select(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<(Selected, Arc<RouteTable>), Refused> {
+        let core = self.core();
+        let now = self.clock.uptime();
+        let freshness = core.operator.freshness();
+        let table = core.table.as_ref().ok_or(Failure::StaleConfiguration)?;
+        match table.select(host, path, key) {
+            Ok(selected) => {
+                let bound = self.settings.revocation.mul_f64(FRESH_PART);
+                let fresh = selected.team.is_none() || freshness.within(bound, now);
+                fresh.then_some(()).ok_or(Failure::StaleConfiguration)?;
+                Ok((selected, Arc::clone(table)))
+            }
+            Err(denial) => {
+                let certain = freshness.within(CERTAIN_AGE, now);
+                certain.then_some(()).ok_or(Failure::StaleConfiguration)?;
+                Err(denial.into())
+            }
+        }
+    }
+
+    /// Records a request of a caller for the retry budget of its service.
+    pub(crate) fn count_request(&self, service: &str) {
+        let now = self.clock.now();
+        let mut core = self.core();
+        let window = core.retries.entry(service.to_owned()).or_default();
+        window.request(&self.settings.retries, now);
+    }
+
+    /// Takes a retry from the budget of a service; returns whether it allows one.
+    pub(crate) fn withdraw_retry(&self, service: &Service) -> bool {
+        let (now, entries) = (self.clock.now(), self.entries());
+        let mut core = self.core();
+        let window = core.retries.entry(service.id.clone()).or_default();
+        window.withdraw(&self.settings.retries, entries, now)
+    }
+
+    /// Returns whether the gateway can serve requests with keys.
+    pub(crate) fn is_able(&self) -> bool {
+        let core = self.core();
+        let bound = self.settings.revocation.mul_f64(FRESH_PART);
+        core.table.is_some()
+            && core.members.at() > 0
+            && core.operator.freshness().within(bound, self.clock.uptime())
+    }
+
+    /// Waits until a configuration is in force.
+    pub(crate) async fn configured(&self) {
+        let mut version = self.version.subscribe();
+        if version.wait_for(|version| *version > 0).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
+    /// Records that the process ends.
+    pub(crate) fn begin_stop(&self) {
+        self.core().stopping = true;
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/attempt.rs
@@ -0,0 +1,207 @@
+//! One attempt: the choice of a target, the request to it and the head of its answer.
+
+use super::{
+    handle::Context,
+    record,
+    send::{Link, Reply, SendError},
+};
+use crate::gateway::Gateway;
+use bytes::Bytes;
+use fulmarhead_lib::{
+    forward::{AnswerHead, Call, Failure, Sent, Unsent, Verdict},
+    placement::{AttemptResult, Choice, Shortage, Waive, Work, WorkId},
+    routes::{Selected, Service},
+};
+use fulmarhead_platform::{Outgoing, decode_answer, outgoing_headers};
+use http_body_util::Full;
+use hyper::{Request, body::Incoming, http::uri::PathAndQuery};
+use std::sync::Arc;
+use tokio_util::task::AbortOnDropHandle;
+
+/// The work of a request at a target, which ends when it is dropped.
+pub(super) struct InFlight {
+    gateway: Arc<Gateway>,
+    target: String,
+    id: WorkId,
+    result: AttemptResult,
+}
+
+impl InFlight {
+    /// Records that the first event is here.
+    pub(super) fn first_event(&self) {
+        self.gateway.core().pool.first_event(&self.target, self.id);
+    }
+
+    /// Sets how the attempt ended.
+    pub(super) fn set_result(&mut self, result: AttemptResult) {
+        self.result = result;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        self.gateway.core().pool.end(&self.target, self.id, self.result, now);
+        self.gateway.work_ended.notify_one();
+    }
+}
+
+/// An attempt that has the head of the target's answer.
+pub(super) struct Answering {
+    pub(super) call: Call<Sent>,
+    pub(super) head: AnswerHead,
+    pub(super) headers: hyper::HeaderMap,
+    pub(super) body: Incoming,
+    pub(super) work: InFlight,
+    /// Keeps the connection open until the body was read.
+    pub(super) connection: AbortOnDropHandle<()>,
+}
+
+/// An attempt without an answer for the caller.
+pub(super) struct Failed {
+    pub(super) call: Call<Unsent>,
+    pub(super) failure: Failure,
+}
+
+impl Failed {
+    fn new(call: Call<Unsent>, failure: Failure) -> Self {
+        Self { call, failure }
+    }
+}
+
+/// Sends a call to one target; `last_event` is the last event that the caller has.
+pub(super) async fn attempt(
+    context: &Context,
+    call: Call<Unsent>,
+    last_event: Option<u64>,
+) -> Result<Answering, Failed> {
+    let gateway = &context.gateway;
+    let (selected, service) = match context.service() {
+        Ok(found) => found,
+        Err(failure) => return Err(Failed::new(call, failure)),
+    };
+    if call.is_repeat() && !gateway.withdraw_retry(&service) {
+        return Err(Failed::new(call, Failure::Overloaded));
+    }
+    let choice = match choose(context, &service, call.tried()) {
+        Ok(choice) => choice,
+        Err(Shortage::NoTarget) => return Err(Failed::new(call, Failure::NoTarget)),
+        Err(Shortage::Full) => return Err(Failed::new(call, Failure::Overloaded)),
+    };
+    let now = gateway.clock.now();
+    let work = Work::new(&service, &context.need, now);
+    let Some(id) = gateway.core().pool.begin(&choice.target, work, now) else {
+        return Err(Failed::new(call, Failure::NoTarget));
+    };
+    let result = AttemptResult::Abandoned;
+    let mut work =
+        InFlight { gateway: Arc::clone(gateway), target: choice.target.clone(), id, result };
+    let call = call.send(choice.target.clone());
+    let number = context.next_attempt();
+    record::chosen(&context.head.request, &choice, number, call.deadline().remaining(now));
+    let sent = send(context, &selected, &choice, &call, last_event).await;
+    let reply = match sent {
+        Ok(reply) => reply,
+        Err(error) => return Err(unanswered(context, call, &mut work, &error)),
+    };
+    judge(context, call, work, reply)
+}
+
+fn choose(
+    context: &Context,
+    service: &Service,
+    tried: &[String],
+) -> Result<Choice, Shortage> {
+    let gateway = &context.gateway;
+    let (now, entries) = (gateway.clock.now(), gateway.entries());
+    let mut core = gateway.core();
+    let healthy =
+        core.pool.choose(service, &context.need, tried, Waive::Nothing, entries, now);
+    match healthy {
+        Err(Shortage::Full) => {
+            core.pool.choose(service, &context.need, tried, Waive::Health, entries, now)
+        }
+        result => result,
+    }
+}
+
+async fn send(
+    context: &Context,
+    selected: &Selected,
+    choice: &Choice,
+    call: &Call<Sent>,
+    last_event: Option<u64>,
+) -> Result<Reply, SendError> {
+    let link = Link::open(choice.address).await?;
+    let left = call.deadline().remaining(context.gateway.clock.now());
+    let outgoing = Outgoing {
+        target: &choice.target,
+        team: selected.team.as_deref(),
+        left,
+        last_event,
+        rank: None,
+        helpers: &[],
+    };
+    let path = context.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let mut request = Request::new(Full::new(context.body.clone()));
+    *request.method_mut() = context.method.clone();
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() =
+        outgoing_headers(&context.headers, &outgoing).map_err(std::io::Error::other)?;
+    link.send(request, context.patience(call, left)).await
+}
+
+fn unanswered(
+    context: &Context,
+    call: Call<Sent>,
+    work: &mut InFlight,
+    error: &SendError,
+) -> Failed {
+    let now = context.gateway.clock.now();
+    let failure = match error {
+        SendError::Silent(_) => Failure::Timeout,
+        _ => Failure::ConnectionLost,
+    };
+    if !call.deadline().has_passed(now) {
+        work.set_result(AttemptResult::Failed);
+    }
+    let after = now.saturating_duration_since(context.received);
+    record::attempt_failed(&context.head.request, call.target(), &error.to_string(), after);
+    match error.is_unsent() {
+        true => Failed::new(call.not_sent(), failure),
+        false => Failed::new(call.lost(), failure),
+    }
+}
+
+fn judge(
+    context: &Context,
+    call: Call<Sent>,
+    mut work: InFlight,
+    reply: Reply,
+) -> Result<Answering, Failed> {
+    let (parts, body) = reply.response.into_parts();
+    let head = decode_answer(parts.status, &parts.headers, &context.head.request);
+    let verdict = head.verdict();
+    if verdict == Verdict::Answer {
+        let (headers, connection) = (parts.headers, reply.connection);
+        return Ok(Answering { call, head, headers, body, work, connection });
+    }
+    let after = context.elapsed();
+    record::verdict(&context.head.request, call.target(), verdict, after);
+    let (result, failure) = match verdict {
+        Verdict::Full => (AttemptResult::Full, Failure::Overloaded),
+        Verdict::Elsewhere => (AttemptResult::Gone, Failure::Rejected),
+        Verdict::NotRun => (AttemptResult::Full, Failure::Rejected),
+        Verdict::Spoiled | Verdict::Answer => (AttemptResult::Failed, Failure::BadAnswer),
+    };
+    work.set_result(result);
+    match verdict {
+        Verdict::Spoiled | Verdict::Answer => Err(Failed::new(call.lost(), failure)),
+        _ => Err(Failed::new(call.rejected(), failure)),
+    }
+}
+
+/// Returns the bytes of a piece of a body, empty for trailers.
+pub(super) fn data(frame: hyper::body::Frame<Bytes>) -> Bytes {
+    frame.into_data().unwrap_or_default()
+}
--- /dev/null
+++ b/gateway/src/serve/events.rs
@@ -0,0 +1,151 @@
+//! Answers that are streams of events, which go on at another target when one breaks off.
+
+use super::{
+    attempt::{Answering, attempt, data},
+    body::{AnswerBody, Broken, streamed},
+    handle::Context,
+    record,
+};
+use async_stream::stream;
+use bytes::Bytes;
+use fulmarhead_lib::{
+    forward::{EventBuffer, Failure},
+    placement::AttemptResult,
+};
+use fulmarhead_platform::for_caller;
+use futures::Stream;
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body::Incoming};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Pauses between two events up to this many times the route's bound are not taken for the death
+/// of a target; callers give up after eight times the bound.
+const GAP_FACTOR: u32 = 4;
+
+/// Shortest pause that is taken for the death of a target; a pass that reads long prompts takes
+/// up to about a second.
+const SHORTEST_GAP: Duration = Duration::from_millis(1_200);
+
+/// Returns the answer whose body is the target's stream.
+pub(super) fn answer(context: Context, answering: Answering) -> Response<AnswerBody> {
+    let status = answering.head.status;
+    let headers = for_caller(&answering.headers);
+    let mut response = Response::new(streamed(pieces(context, answering)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = headers;
+    response
+}
+
+/// How reading a target's stream ended.
+enum Read {
+    /// Whole events.
+    Events(Vec<u8>),
+    /// The stream is complete.
+    End,
+    /// The stream broke off.
+    Broken(Failure),
+}
+
+/// Yields the events of the answer, from as many targets as it takes.
+fn pieces(
+    context: Context,
+    answering: Answering,
+) -> impl Stream<Item = Result<Bytes, Broken>> + Send + 'static {
+    stream! {
+        let mut buffer = EventBuffer::after(context.head.last_event);
+        let mut answering = answering;
+        let mut first = None;
+        loop {
+            let failure = loop {
+                match read(&context, &mut answering, &mut buffer).await {
+                    Read::Events(events) => {
+                        if first.is_none() {
+                            first = Some(context.elapsed());
+                        }
+                        answering.work.first_event();
+                        yield Ok(Bytes::from(events));
+                    }
+                    Read::End => {
+                        answering.work.set_result(AttemptResult::Answered);
+                        let (request, target) = (&context.head.request, answering.call.target());
+                        let (all, status) = (context.elapsed(), answering.head.status);
+                        record::answered(request, target, status, first.unwrap_or(all), all);
+                        return;
+                    }
+                    Read::Broken(failure) => break failure,
+                }
+            };
+            match resume(&context, answering, &mut buffer, failure).await {
+                Some(next) => answering = next,
+                None => {
+                    let (request, last) = (&context.head.request, buffer.last());
+                    record::broken(request, failure.into(), last, context.elapsed());
+                    yield Err(match failure {
+                        Failure::Timeout => Broken::Timeout,
+                        _ => Broken::Target,
+                    });
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Reads until there are whole events or the stream ends.
+async fn read(context: &Context, answering: &mut Answering, buffer: &mut EventBuffer) -> Read {
+    let left = answering.call.deadline().remaining(context.gateway.clock.now());
+    let resumable = answering.call.repeat().allowed();
+    let gap = (context.need.gap * GAP_FACTOR).max(SHORTEST_GAP);
+    let limit = if resumable { left.min(gap.max(context.need.objective)) } else { left };
+    loop {
+        let frame = match timeout(limit, next(&mut answering.body)).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return Read::Broken(Failure::ConnectionLost),
+            Ok(None) if buffer.is_whole() => return Read::End,
+            Ok(None) => return Read::Broken(Failure::BadAnswer),
+            Err(_) if limit == left => return Read::Broken(Failure::Timeout),
+            Err(_) => return Read::Broken(Failure::ConnectionLost),
+        };
+        match buffer.push(&data(frame)) {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => return Read::Events(events),
+            Err(_) => return Read::Broken(Failure::BadAnswer),
+        }
+    }
+}
+
+async fn next(body: &mut Incoming) -> Option<Result<hyper::body::Frame<Bytes>, hyper::Error>> {
+    body.frame().await
+}
+
+/// Goes on with the stream at another target, after the last event that the caller has.
+async fn resume(
+    context: &Context,
+    answering: Answering,
+    buffer: &mut EventBuffer,
+    failure: Failure,
+) -> Option<Answering> {
+    let Answering { call, mut work, connection, body, .. } = answering;
+    // Closing the connection cancels what the target may still be doing.
+    drop((connection, body));
+    let target = call.target().clone();
+    if failure != Failure::Timeout {
+        work.set_result(AttemptResult::Failed);
+    }
+    drop(work);
+    record::attempt_failed(&context.head.request, &target, failure.into(), context.elapsed());
+    buffer.discard_partial();
+    let mut call = call.lost();
+    loop {
+        if !call.may_send(context.gateway.clock.now()) {
+            return None;
+        }
+        match attempt(context, call, buffer.last()).await {
+            Ok(next) if next.head.events && next.head.is_success() => return Some(next),
+            Ok(_) => return None,
+            Err(failed) if failed.failure == Failure::ConnectionLost => call = failed.call,
+            Err(_) => return None,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/serve/handle.rs
@@ -0,0 +1,229 @@
+//! A caller's request from its head to its answer.
+
+use super::{
+    attempt::{Answering, attempt},
+    body::AnswerBody,
+    buffered, events, record,
+    refusal::{problem, refuse},
+};
+use crate::gateway::{Gateway, Refused};
+use bytes::Bytes;
+use fulmarhead_lib::{
+    forward::{Call, Ending, Failure, Sent, Unsent},
+    placement::Need,
+    request::Deadline,
+    routes::{Denial, RouteTable, Selected, Service},
+};
+use fulmarhead_platform::CallerHead;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
+use rand::RngExt;
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::time::timeout;
+
+/// Time for an answer where neither the caller nor the route says one.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Longest pause between two events where the route says none.
+const DEFAULT_GAP: Duration = Duration::from_secs(1);
+
+/// A request with all that its attempts need.
+pub(super) struct Context {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) head: CallerHead,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) need: Need,
+    pub(super) received: Instant,
+    draw: f64,
+    attempts: AtomicUsize,
+}
+
+impl Context {
+    /// Returns the route, the team and the service under the configuration in force now.
+    ///
+    /// A request that waited while the configuration changed goes where the newest one says.
+    pub(super) fn service(&self) -> Result<(Selected, Arc<Service>), Failure> {
+        let head = &self.head;
+        let found = self.gateway.select(&head.host, &head.path, head.key.as_deref());
+        let (selected, table) = found.map_err(|refused| match refused {
+            Refused::Denied(_) => Failure::StaleConfiguration,
+            Refused::Unable(failure) => failure,
+        })?;
+        let id = selected.route.service(self.draw).ok_or(Failure::NoTarget)?;
+        let service = table.service(id).map(Arc::clone).ok_or(Failure::NoTarget)?;
+        Ok((selected, service))
+    }
+
+    /// Returns the number of the next attempt, counted from 1.
+    pub(super) fn next_attempt(&self) -> usize {
+        self.attempts.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns the time since the request came.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.gateway.clock.now().saturating_duration_since(self.received)
+    }
+
+    /// Returns how long to wait for the first byte of an answer, with `left` until the deadline.
+    ///
+    /// A request that may be repeated leaves a silent target while there is time for another.
+    pub(super) fn patience(&self, call: &Call<Sent>, left: Duration) -> Duration {
+        match call.repeat().allowed() && !call.is_last() {
+            true => left.mul_f64(0.5),
+            false => left,
+        }
+    }
+}
+
+/// Answers a request of a caller.
+pub(super) async fn handle(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let stopping = gateway.core().stopping;
+    let mut response = answer(gateway, request).await;
+    if stopping {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let received = gateway.clock.now();
+    let (parts, body) = request.into_parts();
+    let head = match CallerHead::decode(&parts.uri, &parts.headers) {
+        Ok(head) => head,
+        Err(error) => {
+            return problem(StatusCode::BAD_REQUEST, &error.to_string(), "not_run");
+        }
+    };
+    let found = gateway.select(&head.host, &head.path, head.key.as_deref());
+    let (selected, table) = match found {
+        Ok(found) => found,
+        Err(refused) => return deny(&gateway, &head, refused, received),
+    };
+    let time = head.deadline.unwrap_or(DEFAULT_TIME).min(selected.route.timeout);
+    let deadline = Deadline::after(received, time);
+    let limit = table.limits().body_bytes;
+    let body = match read_body(body, limit, time).await {
+        Ok(body) => body,
+        Err(status) => return problem(status, "body", "not_run"),
+    };
+    let context = Context {
+        need: need(&head, &selected),
+        gateway,
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        received,
+        draw: rand::rng().random(),
+        attempts: AtomicUsize::new(0),
+    };
+    count(&context, &selected, &table);
+    let call = Call::new(selected.route.repeat, deadline, selected.route.attempts);
+    forward(context, call).await
+}
+
+fn deny(
+    gateway: &Gateway,
+    head: &CallerHead,
+    refused: Refused,
+    received: Instant,
+) -> Response<AnswerBody> {
+    let status = match refused {
+        Refused::Denied(Denial::NoRoute) => StatusCode::NOT_FOUND,
+        Refused::Denied(Denial::UnknownKey) => StatusCode::UNAUTHORIZED,
+        Refused::Unable(failure) => {
+            let ending = Ending::NotRun(failure);
+            let after = gateway.clock.now().saturating_duration_since(received);
+            record::failed(&head.request, ending, after);
+            return refuse(ending);
+        }
+    };
+    let version = *gateway.version.borrow();
+    let reason = refused.to_string();
+    record::denied(&head.request, &reason, version);
+    problem(status, &reason, "not_run")
+}
+
+async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, StatusCode> {
+    let read = timeout(time, Limited::new(body, limit).collect());
+    match read.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)? {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn need(head: &CallerHead, selected: &Selected) -> Need {
+    let output = head.output_hint.unwrap_or(head.max_output);
+    Need {
+        prompt: head.prompt,
+        output,
+        objective: selected.route.objective,
+        gap: selected.route.gap.unwrap_or(DEFAULT_GAP),
+    }
+}
+
+fn count(context: &Context, selected: &Selected, table: &RouteTable) {
+    let service = selected.route.service(context.draw).and_then(|id| table.service(id));
+    if let Some(service) = service {
+        context.gateway.count_request(&service.id);
+    }
+}
+
+/// Sends the call to targets until one answers or nothing more may be done.
+async fn forward(context: Context, mut call: Call<Unsent>) -> Response<AnswerBody> {
+    let last_event = context.head.last_event;
+    loop {
+        let failed = match attempt(&context, call, last_event).await {
+            Ok(answering) if answering.head.events => return events::answer(context, answering),
+            Ok(answering) => match buffered::answer(&context, answering).await {
+                Ok(response) => return response,
+                Err(failed) => failed,
+            },
+            Err(failed) => failed,
+        };
+        let now = context.gateway.clock.now();
+        let over = matches!(failed.failure, Failure::NoTarget | Failure::StaleConfiguration);
+        if over || !failed.call.may_send(now) || context.is_spent(&failed.failure) {
+            let ending = failed.call.end(failed.failure);
+            record::failed(&context.head.request, ending, context.elapsed());
+            return refuse(ending);
+        }
+        call = failed.call;
+    }
+}
+
+impl Context {
+    /// Returns whether so many attempts were made that another is pointless.
+    fn is_spent(&self, failure: &Failure) -> bool {
+        *failure == Failure::Overloaded && self.attempts.load(Ordering::Relaxed) > 0
+            || self.attempts.load(Ordering::Relaxed) >= MOST_TRIES
+    }
+}
+
+/// Most connections that one request tries, those that could not be set up included.
+const MOST_TRIES: usize = 4;
+
+/// Returns what is left of an answering attempt, for the modules that read its body.
+pub(super) fn first_byte(context: &Context, answering: &Answering) -> Duration {
+    answering.work.first_event();
+    context.elapsed()
+}
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::Arc,
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 /// A source of monotonic and wall-clock time.
@@ -12,6 +12,9 @@
 
     /// Returns the wall-clock time, which may step in either direction.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the time since the VM started, which counts while it is suspended.
+    fn uptime(&self) -> Duration;
 }
 
 /// A clock that several tasks share.
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -24,6 +24,10 @@
 pub type RequestId = Uuid;
 /// Number of a configuration; it only rises.
 pub type Revision = u64;
+/// Name of a route.
+pub type RouteId = String;
+/// Name of a service: targets that answer the same requests.
+pub type ServiceId = String;
 /// Name of a target: a model engine or an application worker.
 pub type TargetId = String;
 /// Name of a team.
--- /dev/null
+++ b/lib/src/placement/load.rs
@@ -0,0 +1,126 @@
+//! Work in flight at a target.
+
+use super::Need;
+use crate::{
+    ids::Tokens,
+    routes::{EngineModel, Service},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Number of a piece of work of one entry.
+pub type WorkId = u64;
+
+/// One request at a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// Prompt that the target reads, in tokens.
+    pub prompt: Tokens,
+    /// Expected output, in tokens.
+    pub output: Tokens,
+    /// Time to read the prompt on an idle engine, in ms; 0 at an application.
+    pub read_ms: f64,
+    /// Longest pause between two events that earns full credit, in ms.
+    pub gap_ms: f64,
+    /// Time at which it was sent.
+    pub since: Instant,
+    /// Whether its first event is here.
+    pub writing: bool,
+}
+
+impl Work {
+    /// Returns the work of a request that is sent to a target of `service` at `now`.
+    pub fn new(service: &Service, need: &Need, now: Instant) -> Self {
+        let read_ms = service.engine.map_or(0.0, |engine| engine.read_ms(need.prompt));
+        let gap_ms = need.gap.as_secs_f64() * 1e3;
+        let (prompt, output) = (need.prompt, need.output);
+        Self { prompt, output, read_ms, gap_ms, since: now, writing: false }
+    }
+}
+
+/// Sum of the work in flight at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Requests whose first event is here.
+    pub writing: u32,
+    /// Time to read the prompts that wait, in ms.
+    pub read_ms: f32,
+    /// Prompts and expected outputs of all requests, in tokens.
+    pub memory: Tokens,
+    /// Requests that tolerate only short pauses.
+    pub short: u32,
+}
+
+/// Pauses up to this bound count as short, in ms: about four passes of an engine without reading.
+const SHORT_GAP_MS: f64 = 300.0;
+
+impl TargetLoad {
+    /// Adds the load of another entry.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.writing += other.writing;
+        self.read_ms += other.read_ms;
+        self.memory += other.memory;
+        self.short += other.short;
+    }
+}
+
+/// The work that one entry has in flight at one target.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct InFlight {
+    works: BTreeMap<WorkId, Work>,
+}
+
+impl InFlight {
+    pub(super) fn insert(&mut self, id: WorkId, work: Work) {
+        self.works.insert(id, work);
+    }
+
+    pub(super) fn remove(&mut self, id: WorkId) -> bool {
+        self.works.remove(&id).is_some()
+    }
+
+    pub(super) fn first_event(&mut self, id: WorkId) {
+        if let Some(work) = self.works.get_mut(&id) {
+            work.writing = true;
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.works.is_empty()
+    }
+
+    /// Returns the sum; the oldest prompt is taken to be read first.
+    pub(super) fn sum(&self, now: Instant) -> TargetLoad {
+        let mut load = TargetLoad::default();
+        let mut oldest = Duration::ZERO;
+        for work in self.works.values() {
+            load.requests += 1;
+            load.memory += work.prompt + work.output;
+            load.short += u32::from(work.gap_ms <= SHORT_GAP_MS);
+            if work.writing {
+                load.writing += 1;
+            } else {
+                load.read_ms += work.read_ms as f32;
+                oldest = oldest.max(now.saturating_duration_since(work.since));
+            }
+        }
+        let progress = oldest.as_secs_f32() * 1e3;
+        // Some of the time went to the steps of those that write; half of it is a safe estimate.
+        load.read_ms = (load.read_ms - progress / 2.0).max(load.read_ms / 4.0);
+        load
+    }
+}
+
+/// Returns the time of a pass with the load's writing requests and no reading, in ms.
+pub(super) fn pass_ms(load: &TargetLoad, engine: &EngineModel) -> f64 {
+    if load.writing == 0 {
+        return engine.step_ms;
+    }
+    f64::from(engine.stride) * engine.step_time(load.writing, load.memory)
+}
--- /dev/null
+++ b/lib/src/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Choice of a target for each request, from what this entry and its peers have in flight.
+
+mod cost;
+mod health;
+mod load;
+mod member;
+mod pool;
+
+pub use self::{
+    cost::Need,
+    health::{AttemptResult, Health},
+    load::{TargetLoad, Work, WorkId},
+    member::{Member, MemberState},
+    pool::{Choice, Pool, PoolView, Shortage, Waive},
+};
--- a/runtime/src/clock.rs
+++ b/runtime/src/clock.rs
@@ -1,9 +1,10 @@
 //! The clock of the operating system.
 
 use fulmarhead_lib::clock::{Clock, SharedClock};
+use rustix::time::{ClockId, clock_gettime};
 use std::{
     sync::Arc,
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 /// The clock of the operating system.
@@ -26,4 +27,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+    fn uptime(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::try_from(time).unwrap_or_default()
+    }
 }
--- a/runtime/src/control/mod.rs
+++ b/runtime/src/control/mod.rs
@@ -9,4 +9,5 @@
     client::{Peer, PeerError},
     protocol::{Control, ControlClient},
     server::{ControlServer, Handler},
+    transport::{Wire, wire},
 };
--- a/runtime/src/control/transport.rs
+++ b/runtime/src/control/transport.rs
@@ -18,16 +18,16 @@
 /// Largest message, in bytes: a whole configuration of the design size.
 const MAX_FRAME: usize = 32 << 20;
 
-type Count = fn(&[u8]);
+pub type Count = fn(&[u8]);
 
 /// A connection whose bytes are counted.
-type Counted = Join<InspectReader<OwnedReadHalf, Count>, InspectWriter<OwnedWriteHalf, Count>>;
+pub type Counted = Join<InspectReader<OwnedReadHalf, Count>, InspectWriter<OwnedWriteHalf, Count>>;
 
 /// A control connection that receives `Item` and sends `SinkItem`.
-pub(super) type Wire<Item, SinkItem> = Transport<Counted, Item, SinkItem, Bincode<Item, SinkItem>>;
+pub type Wire<Item, SinkItem> = Transport<Counted, Item, SinkItem, Bincode<Item, SinkItem>>;
 
 /// Returns the transport on a connected stream.
-pub(super) fn wire<Item, SinkItem>(stream: TcpStream) -> io::Result<Wire<Item, SinkItem>>
+pub fn wire<Item, SinkItem>(stream: TcpStream) -> io::Result<Wire<Item, SinkItem>>
 where
     Item: for<'de> serde::Deserialize<'de>,
     SinkItem: serde::Serialize,
--- a/spec/src/clock.rs
+++ b/spec/src/clock.rs
@@ -57,4 +57,7 @@
     fn wall(&self) -> SystemTime {
         self.times.wall(self.step)
     }
+    fn uptime(&self) -> Duration {
+        self.times.step * u32::from(self.step)
+    }
 }
