gateway: hold the lock once while composing a report to a peer

Cause: the guard of core() lived until the end of the struct expression that calls known(), which locks again; each entry stopped in its first exchange. Ruled out: the bind of the listeners, the client of the store (2 calls were answered). Change: the loads are read before the expression.

--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -9,10 +9,11 @@
 impl Gateway {
     /// Returns what this entry tells another whose copies stand at the given revisions.
     pub(super) fn hello(&self, operator: Option<Revision>, members: Option<Revision>) -> Hello {
+        let loads = self.core().pool.loads(self.clock.now());
         Hello {
             entry: self.settings.node.clone(),
             entries: self.roster.all(),
-            loads: self.core().pool.loads(self.clock.now()),
+            loads,
             operator: self.known(Part::Operator, operator),
             members: self.known(Part::Members, members),
         }
