placement: read long prompts in parts and pack requests with short pauses

Change: a long prompt is read in parts by targets without short streams, as many as keep the objective; short requests fill targets in an order that all entries share; silence ends an attempt only if the call can go on elsewhere.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -145,6 +145,14 @@
         window.withdraw(&self.settings.retries, entries, now)
     }
 
+    /// Returns whether the retry budget of a service allows a retry.
+    pub(crate) fn may_retry(&self, service: &Service) -> bool {
+        let (now, entries) = (self.clock.now(), self.entries());
+        let core = self.core();
+        let window = core.retries.get(&service.id);
+        window.is_some_and(|window| window.allows(&self.settings.retries, entries, now))
+    }
+
     /// Returns whether the gateway can serve requests with keys.
     pub(crate) fn is_able(&self) -> bool {
         let core = self.core();
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -3,12 +3,13 @@
 use super::{
     handle::Context,
     record,
-    send::{Link, Reply, SendError},
+    send::{Link, Pending, Reply, SendError},
 };
 use crate::gateway::Gateway;
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{AnswerHead, Call, Failure, Sent, Unsent, Verdict},
+    ids::TargetId,
     placement::{AttemptResult, Choice, Shortage, Waive, Work, WorkId},
     routes::{Selected, Service},
 };
@@ -18,18 +19,41 @@
 use std::sync::Arc;
 use tokio_util::task::AbortOnDropHandle;
 
-/// The work of a request at a target, which ends when it is dropped.
+/// The work of a request at a target and its helpers, which ends when it is dropped.
 pub(super) struct InFlight {
     gateway: Arc<Gateway>,
-    target: String,
-    id: WorkId,
+    target: TargetId,
+    id: Option<WorkId>,
+    helpers: Vec<(TargetId, WorkId)>,
     result: AttemptResult,
 }
 
 impl InFlight {
-    /// Records that the first event is here.
-    pub(super) fn first_event(&self) {
-        self.gateway.core().pool.first_event(&self.target, self.id);
+    fn begin(context: &Context, choice: &Choice) -> Self {
+        let gateway = Arc::clone(&context.gateway);
+        let now = gateway.clock.now();
+        let mut core = gateway.core();
+        let work = Work::new(&context.need, choice.read_ms, now);
+        let id = core.pool.begin(&choice.target, work, now);
+        let part = Work::helping(&context.need, choice.read_ms, now);
+        let helpers = choice.helpers.iter().filter_map(|helper| {
+            let id = core.pool.help(&helper.target, part)?;
+            Some((helper.target.clone(), id))
+        });
+        let helpers = helpers.collect();
+        drop(core);
+        let target = choice.target.clone();
+        Self { gateway, target, id, helpers, result: AttemptResult::Abandoned }
+    }
+
+    /// Records that the first event is here, so that the prompt was read.
+    pub(super) fn first_event(&mut self) {
+        let Some(id) = self.id else { return };
+        let mut core = self.gateway.core();
+        core.pool.first_event(&self.target, id);
+        for (target, id) in self.helpers.drain(..) {
+            core.pool.end_help(&target, id);
+        }
     }
 
     /// Sets how the attempt ended.
@@ -41,7 +65,12 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
-        self.gateway.core().pool.end(&self.target, self.id, self.result, now);
+        let mut core = self.gateway.core();
+        core.pool.end(&self.target, self.id, self.result, now);
+        for (target, id) in self.helpers.drain(..) {
+            core.pool.end_help(&target, id);
+        }
+        drop(core);
         self.gateway.work_ended.notify_one();
     }
 }
@@ -89,13 +118,7 @@
         Err(Shortage::Full) => return Err(Failed::new(call, Failure::Overloaded)),
     };
     let now = gateway.clock.now();
-    let work = Work::new(&service, &context.need, now);
-    let Some(id) = gateway.core().pool.begin(&choice.target, work, now) else {
-        return Err(Failed::new(call, Failure::NoTarget));
-    };
-    let result = AttemptResult::Abandoned;
-    let mut work =
-        InFlight { gateway: Arc::clone(gateway), target: choice.target.clone(), id, result };
+    let mut work = InFlight::begin(context, &choice);
     let call = call.send(choice.target.clone());
     let number = context.next_attempt();
     record::chosen(&context.head.request, &choice, number, call.deadline().remaining(now));
@@ -110,7 +133,7 @@
 fn choose(
     context: &Context,
     service: &Service,
-    tried: &[String],
+    tried: &[TargetId],
 ) -> Result<Choice, Shortage> {
     let gateway = &context.gateway;
     let (now, entries) = (gateway.clock.now(), gateway.entries());
@@ -134,13 +157,15 @@
 ) -> Result<Reply, SendError> {
     let link = Link::open(choice.address).await?;
     let left = call.deadline().remaining(context.gateway.clock.now());
+    let helpers: Vec<String> =
+        choice.helpers.iter().map(|helper| helper.address.to_string()).collect();
     let outgoing = Outgoing {
         target: &choice.target,
         team: selected.team.as_deref(),
         left,
         last_event,
         rank: None,
-        helpers: &[],
+        helpers: &helpers,
     };
     let path = context.uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let mut request = Request::new(Full::new(context.body.clone()));
@@ -148,7 +173,27 @@
     *request.uri_mut() = path.parse().unwrap_or_default();
     *request.headers_mut() =
         outgoing_headers(&context.headers, &outgoing).map_err(std::io::Error::other)?;
-    link.send(request, context.patience(call, left)).await
+    let pending = link.send(request).await?;
+    answer_head(context, call, pending).await
+}
+
+/// Waits for the head of the answer. Silence ends the attempt early only if the call can go on at
+/// another target.
+async fn answer_head(
+    context: &Context,
+    call: &Call<Sent>,
+    mut pending: Pending,
+) -> Result<Reply, SendError> {
+    let patience = context.patience();
+    loop {
+        let left = call.deadline().remaining(context.gateway.clock.now());
+        match pending.head(left.min(patience)).await {
+            Some(response) => return Ok(pending.reply(response?)),
+            None if left <= patience => return Err(SendError::Timeout),
+            None if can_move(context, call) => return Err(SendError::Silent(patience)),
+            None => {}
+        }
+    }
 }
 
 fn unanswered(
@@ -159,7 +204,8 @@
 ) -> Failed {
     let now = context.gateway.clock.now();
     let failure = match error {
-        SendError::Silent(_) => Failure::Timeout,
+        SendError::Timeout => Failure::Timeout,
+        SendError::Silent(_) => Failure::Silent,
         _ => Failure::ConnectionLost,
     };
     if !call.deadline().has_passed(now) {
@@ -201,6 +247,15 @@
     }
 }
 
+/// Returns whether the call could go on at another target now.
+pub(super) fn can_move(context: &Context, call: &Call<Sent>) -> bool {
+    let now = context.gateway.clock.now();
+    let Ok((_, service)) = context.service() else { return false };
+    call.may_repeat(now)
+        && context.gateway.may_retry(&service)
+        && choose(context, &service, call.tried()).is_ok()
+}
+
 /// Returns the bytes of a piece of a body, empty for trailers.
 pub(super) fn data(frame: hyper::body::Frame<Bytes>) -> Bytes {
     frame.into_data().unwrap_or_default()
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -4,7 +4,7 @@
 use super::{
     attempt::{Answering, Failed},
     body::{AnswerBody, whole},
-    handle::{Context, first_byte},
+    handle::Context,
     record,
 };
 use fulmarhead_lib::{forward::Failure, placement::AttemptResult};
@@ -18,8 +18,9 @@
     context: &Context,
     answering: Answering,
 ) -> Result<Response<AnswerBody>, Failed> {
-    let first = first_byte(context, &answering);
+    let first = context.elapsed();
     let Answering { call, head, headers, body, mut work, connection } = answering;
+    work.first_event();
     let left = call.deadline().remaining(context.gateway.clock.now());
     let read = timeout(left, body.collect()).await;
     drop(connection);
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -1,7 +1,7 @@
 //! Answers that are streams of events, which go on at another target when one breaks off.
 
 use super::{
-    attempt::{Answering, attempt, data},
+    attempt::{Answering, attempt, can_move, data},
     body::{AnswerBody, Broken, streamed},
     handle::Context,
     record,
@@ -16,17 +16,8 @@
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming};
-use std::time::Duration;
 use tokio::time::timeout;
 
-/// Pauses between two events up to this many times the route's bound are not taken for the death
-/// of a target; callers give up after eight times the bound.
-const GAP_FACTOR: u32 = 4;
-
-/// Shortest pause that is taken for the death of a target; a pass that reads long prompts takes
-/// up to about a second.
-const SHORTEST_GAP: Duration = Duration::from_millis(1_200);
-
 /// Returns the answer whose body is the target's stream.
 pub(super) fn answer(context: Context, answering: Answering) -> Response<AnswerBody> {
     let status = answering.head.status;
@@ -93,19 +84,20 @@
 }
 
 /// Reads until there are whole events or the stream ends.
+///
+/// Silence ends the stream early only if it can go on at another target.
 async fn read(context: &Context, answering: &mut Answering, buffer: &mut EventBuffer) -> Read {
-    let left = answering.call.deadline().remaining(context.gateway.clock.now());
-    let resumable = answering.call.repeat().allowed();
-    let gap = (context.need.gap * GAP_FACTOR).max(SHORTEST_GAP);
-    let limit = if resumable { left.min(gap.max(context.need.objective)) } else { left };
+    let patience = context.patience();
     loop {
-        let frame = match timeout(limit, next(&mut answering.body)).await {
+        let left = answering.call.deadline().remaining(context.gateway.clock.now());
+        let frame = match timeout(left.min(patience), next(&mut answering.body)).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Read::Broken(Failure::ConnectionLost),
             Ok(None) if buffer.is_whole() => return Read::End,
             Ok(None) => return Read::Broken(Failure::BadAnswer),
-            Err(_) if limit == left => return Read::Broken(Failure::Timeout),
-            Err(_) => return Read::Broken(Failure::ConnectionLost),
+            Err(_) if left <= patience => return Read::Broken(Failure::Timeout),
+            Err(_) if can_move(context, &answering.call) => return Read::Broken(Failure::Silent),
+            Err(_) => continue,
         };
         match buffer.push(&data(frame)) {
             Ok(events) if events.is_empty() => {}
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -1,7 +1,7 @@
 //! A caller's request from its head to its answer.
 
 use super::{
-    attempt::{Answering, attempt},
+    attempt::attempt,
     body::AnswerBody,
     buffered, events, record,
     refusal::{problem, refuse},
@@ -9,7 +9,7 @@
 use crate::gateway::{Gateway, Refused};
 use bytes::Bytes;
 use fulmarhead_lib::{
-    forward::{Call, Ending, Failure, Sent, Unsent},
+    forward::{Call, Ending, Failure, Unsent},
     placement::Need,
     request::Deadline,
     routes::{Denial, RouteTable, Selected, Service},
@@ -38,6 +38,21 @@
 /// Longest pause between two events where the route says none.
 const DEFAULT_GAP: Duration = Duration::from_secs(1);
 
+/// Pauses up to this many times the route's bound are not taken for the death of a target;
+/// callers give up after eight times the bound.
+const GAP_FACTOR: u32 = 4;
+
+/// Shortest silence of a stream that is taken for the death of a target; a pass that reads long
+/// prompts takes up to about a second.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Times to an answer up to this many times the objective are not taken for the death of a target.
+const ANSWER_FACTOR: u32 = 2;
+
+/// Shortest silence of an application that is taken for its death; its slowest calls take about
+/// 110 ms.
+const SHORTEST_ANSWER: Duration = Duration::from_millis(200);
+
 /// A request with all that its attempts need.
 pub(super) struct Context {
     pub(super) gateway: Arc<Gateway>,
@@ -47,6 +62,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) need: Need,
+    pub(super) streaming: bool,
     pub(super) received: Instant,
     draw: f64,
     attempts: AtomicUsize,
@@ -78,13 +94,12 @@
         self.gateway.clock.now().saturating_duration_since(self.received)
     }
 
-    /// Returns how long to wait for the first byte of an answer, with `left` until the deadline.
-    ///
-    /// A request that may be repeated leaves a silent target while there is time for another.
-    pub(super) fn patience(&self, call: &Call<Sent>, left: Duration) -> Duration {
-        match call.repeat().allowed() && !call.is_last() {
-            true => left.mul_f64(0.5),
-            false => left,
+    /// Returns how long a target may be silent before the request goes on elsewhere, if it may.
+    pub(super) fn patience(&self) -> Duration {
+        let Need { objective, gap, .. } = self.need;
+        match self.streaming {
+            true => objective.max(gap * GAP_FACTOR).max(SHORTEST_SILENCE),
+            false => (objective * ANSWER_FACTOR).max(SHORTEST_ANSWER),
         }
     }
 }
@@ -125,6 +140,7 @@
     };
     let context = Context {
         need: need(&head, &selected),
+        streaming: selected.route.streaming,
         gateway,
         head,
         method: parts.method,
@@ -221,9 +237,3 @@
 
 /// Most connections that one request tries, those that could not be set up included.
 const MOST_TRIES: usize = 4;
-
-/// Returns what is left of an answering attempt, for the modules that read its body.
-pub(super) fn first_byte(context: &Context, answering: &Answering) -> Duration {
-    answering.work.first_event();
-    context.elapsed()
-}
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -4,6 +4,7 @@
 //! none can be reset because the target closed it meanwhile, and closing it cancels the request.
 
 use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1::Builder};
 use hyper_util::rt::TokioIo;
@@ -27,9 +28,12 @@
     /// The connection failed after the request may have been sent.
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
-    /// No head of an answer came in time.
+    /// No head of an answer came, and the request can go on at another target.
     #[error("no answer within {0:?}")]
     Silent(Duration),
+    /// No head of an answer came until the end of the time limit.
+    #[error("no answer within the time limit")]
+    Timeout,
 }
 
 impl SendError {
@@ -60,19 +64,32 @@
         Ok(Self(stream))
     }
 
-    /// Sends `request` and waits up to `limit` for the head of the answer.
-    pub(super) async fn send(
-        self,
-        request: Request<Full<Bytes>>,
-        limit: Duration,
-    ) -> Result<Reply, SendError> {
+    /// Sends `request`; the answer's head comes from the future that is returned.
+    pub(super) async fn send(self, request: Request<Full<Bytes>>) -> Result<Pending, SendError> {
         let (mut sender, driver) = Builder::new().handshake(TokioIo::new(self.0)).await?;
         let connection = AbortOnDropHandle::new(tokio::spawn(async move {
             // The sender or the body reports what failed.
             let _ = driver.await;
         }));
-        let answer = timeout(limit, sender.send_request(request));
-        let response = answer.await.map_err(|_| SendError::Silent(limit))??;
-        Ok(Reply { response, connection })
+        let answer = async move { sender.send_request(request).await }.boxed();
+        Ok(Pending { answer, connection })
+    }
+}
+
+/// A request that was sent and has no answer yet.
+pub(super) struct Pending {
+    answer: BoxFuture<'static, hyper::Result<Response<Incoming>>>,
+    connection: AbortOnDropHandle<()>,
+}
+
+impl Pending {
+    /// Waits up to `limit` for the head of the answer; returns none if it is not here by then.
+    pub(super) async fn head(&mut self, limit: Duration) -> Option<hyper::Result<Response<Incoming>>> {
+        timeout(limit, &mut self.answer).await.ok()
+    }
+
+    /// Returns the reply of which `response` is the head.
+    pub(super) fn reply(self, response: Response<Incoming>) -> Reply {
+        Reply { response, connection: self.connection }
     }
 }
--- a/lib/src/forward/call.rs
+++ b/lib/src/forward/call.rs
@@ -33,11 +33,6 @@
         Self { repeat, deadline, attempts, tried, may_have_run: false, state: Unsent }
     }
 
-    /// Returns the targets that the call was sent to.
-    pub fn tried(&self) -> &[TargetId] {
-        &self.tried
-    }
-
     /// Returns whether the call was sent before.
     pub fn is_repeat(&self) -> bool {
         !self.tried.is_empty()
@@ -99,6 +94,11 @@
 }
 
 impl<S> Call<S> {
+    /// Returns the targets that the call was sent to.
+    pub fn tried(&self) -> &[TargetId] {
+        &self.tried
+    }
+
     /// Returns the end of the call's time limit.
     pub fn deadline(&self) -> Deadline {
         self.deadline
--- a/lib/src/forward/ending.rs
+++ b/lib/src/forward/ending.rs
@@ -18,6 +18,8 @@
     Timeout,
     /// The connection to the target failed after the request was sent.
     ConnectionLost,
+    /// The target sent nothing for longer than its work explains.
+    Silent,
     /// The target's answer broke off, belongs to another request or can't be read.
     BadAnswer,
 }
--- a/lib/src/limits/window.rs
+++ b/lib/src/limits/window.rs
@@ -34,19 +34,23 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry at `now`; returns whether this entry's part of the budget, which `entries`
-    /// share, allows it.
+    /// Returns whether this entry's part of the budget, which `entries` share, allows one more
+    /// retry at `now`.
+    pub fn allows(&self, settings: &SharedRetrySettings, entries: usize, now: Instant) -> bool {
+        let earned = settings.share * count(&self.requests, settings.window, now) as f64;
+        let budget = USED_PART * (earned + settings.slack / entries.max(1) as f64);
+        (count(&self.retries, settings.window, now) + 1) as f64 <= budget
+    }
+
+    /// Takes one retry at `now`; returns whether the budget allows it.
     pub fn withdraw(
         &mut self,
         settings: &SharedRetrySettings,
         entries: usize,
         now: Instant,
     ) -> bool {
-        forget(&mut self.requests, settings.window, now);
         forget(&mut self.retries, settings.window, now);
-        let earned = settings.share * self.requests.len() as f64;
-        let budget = USED_PART * (earned + settings.slack / entries.max(1) as f64);
-        let allowed = (self.retries.len() + 1) as f64 <= budget;
+        let allowed = self.allows(settings, entries, now);
         if allowed {
             self.retries.push_back(now);
         }
@@ -54,6 +58,10 @@
     }
 }
 
+fn count(times: &VecDeque<Instant>, window: Duration, now: Instant) -> usize {
+    times.iter().rev().take_while(|&&at| now.saturating_duration_since(at) < window).count()
+}
+
 fn forget(times: &mut VecDeque<Instant>, window: Duration, now: Instant) {
     while times.front().is_some_and(|&at| now.saturating_duration_since(at) >= window) {
         times.pop_front();
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -1,10 +1,7 @@
 //! Work in flight at a target.
 
 use super::Need;
-use crate::{
-    ids::Tokens,
-    routes::{EngineModel, Service},
-};
+use crate::{ids::Tokens, routes::EngineModel};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
@@ -27,17 +24,33 @@
     pub gap_ms: f64,
     /// Time at which it was sent.
     pub since: Instant,
-    /// Whether its first event is here.
-    pub writing: bool,
+    /// What the target does.
+    pub stage: Stage,
+}
+
+/// What a target does for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It reads a part of the prompt for another target.
+    Helping,
+    /// It reads the prompt or will.
+    Reading,
+    /// It sends events.
+    Writing,
 }
 
 impl Work {
-    /// Returns the work of a request that is sent to a target of `service` at `now`.
-    pub fn new(service: &Service, need: &Need, now: Instant) -> Self {
-        let read_ms = service.engine.map_or(0.0, |engine| engine.read_ms(need.prompt));
+    /// Returns the work of a request that is sent to a target at `now`, with `read_ms` of
+    /// reading there.
+    pub fn new(need: &Need, read_ms: f64, now: Instant) -> Self {
         let gap_ms = need.gap.as_secs_f64() * 1e3;
         let (prompt, output) = (need.prompt, need.output);
-        Self { prompt, output, read_ms, gap_ms, since: now, writing: false }
+        Self { prompt, output, read_ms, gap_ms, since: now, stage: Stage::Reading }
+    }
+
+    /// Returns the work of a target that reads a part of the prompt in `read_ms`.
+    pub fn helping(need: &Need, read_ms: f64, now: Instant) -> Self {
+        Self { prompt: 0, output: 0, stage: Stage::Helping, ..Self::new(need, read_ms, now) }
     }
 }
 
@@ -56,8 +69,13 @@
     pub short: u32,
 }
 
-/// Pauses up to this bound count as short, in ms: about four passes of an engine without reading.
-const SHORT_GAP_MS: f64 = 300.0;
+/// Pauses up to this bound count as short, in ms: about six passes of an engine without reading.
+const SHORT_GAP_MS: f64 = 400.0;
+
+/// Returns whether a request tolerates only short pauses of `gap_ms`.
+pub(super) fn is_short(gap_ms: f64) -> bool {
+    gap_ms <= SHORT_GAP_MS
+}
 
 impl TargetLoad {
     /// Adds the load of another entry.
@@ -87,7 +105,7 @@
 
     pub(super) fn first_event(&mut self, id: WorkId) {
         if let Some(work) = self.works.get_mut(&id) {
-            work.writing = true;
+            work.stage = Stage::Writing;
         }
     }
 
@@ -100,10 +118,12 @@
         let mut load = TargetLoad::default();
         let mut oldest = Duration::ZERO;
         for work in self.works.values() {
-            load.requests += 1;
-            load.memory += work.prompt + work.output;
-            load.short += u32::from(work.gap_ms <= SHORT_GAP_MS);
-            if work.writing {
+            if work.stage != Stage::Helping {
+                load.requests += 1;
+                load.memory += work.prompt + work.output;
+                load.short += u32::from(is_short(work.gap_ms));
+            }
+            if work.stage == Stage::Writing {
                 load.writing += 1;
             } else {
                 load.read_ms += work.read_ms as f32;
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -9,7 +9,7 @@
 pub use self::{
     cost::Need,
     health::{AttemptResult, Health},
-    load::{TargetLoad, Work, WorkId},
+    load::{Stage, TargetLoad, Work, WorkId},
     member::{Member, MemberState},
-    pool::{Choice, Pool, PoolView, Shortage, Waive},
+    pool::{Choice, Helper, Pool, PoolView, Shortage, Waive},
 };
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -2,6 +2,7 @@
 
 use super::{
     AttemptResult, Health, Member, MemberState, Need, TargetLoad, Work, WorkId,
+    cost::Fit,
     load::InFlight,
 };
 use crate::{
@@ -10,11 +11,13 @@
     routes::Service,
 };
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 use strum::{Display, IntoStaticStr};
+use twox_hash::XxHash64;
 
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, thiserror::Error)]
@@ -35,10 +38,23 @@
     pub address: SocketAddr,
     /// Its load before the request.
     pub load: TargetLoad,
+    /// Targets that read parts of the prompt for it.
+    pub helpers: Vec<Helper>,
+    /// Time to read the prompt, or the target's part of it, in ms.
+    pub read_ms: f64,
     /// Number of targets that were compared.
     pub candidates: usize,
 }
 
+/// A target that reads a part of a prompt for another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Helper {
+    /// Target.
+    pub target: TargetId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Whether a choice may use targets that were tried or that failed lately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Waive {
@@ -65,13 +81,15 @@
 /// Extra cost of a target in another zone, as a share: a little more than the round trip.
 const ZONE_COST: f64 = 1.05;
 
-/// Load of an application's target that counts as one request, for the order of the candidates.
-const REQUEST_COST: f64 = 1_000.0;
+/// Most targets that read parts of one prompt, by the platform's protocol.
+const MAX_HELPERS: usize = 16;
 
 /// One target.
 #[derive(Clone, Debug)]
 struct Target {
     member: Member,
+    /// Place in an order that all entries share and that mixes the zones.
+    order: u64,
     lapsed: Option<Instant>,
     own: InFlight,
     health: Health,
@@ -155,30 +173,67 @@
         entries: usize,
         now: Instant,
     ) -> Result<Choice, Shortage> {
-        let mut best: Option<(f64, Choice)> = None;
-        let mut candidates = 0;
         let mut usable = false;
+        let mut candidates = Vec::new();
         for (id, target) in &self.targets {
             if !self.may_use(target, service, now) || tried.contains(id) {
                 continue;
             }
             usable = true;
             let paused = waive == Waive::Nothing && target.health.is_paused(now);
-            if paused || !target.may_start(service, entries, now) {
-                continue;
-            }
-            candidates += 1;
-            let load = self.load(id, target, now);
-            let cost = self.cost(target, &load, service, need);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let address = target.member.address;
-                best = Some((cost, Choice { target: id.clone(), address, load, candidates: 0 }));
+            if !paused && target.may_start(service, entries, now) {
+                let load = self.load(id, target, now);
+                candidates.push(Candidate { id, target, load });
             }
         }
-        let Some((_, choice)) = best else {
+        candidates.sort_by_key(|candidate| candidate.target.order);
+        let fits = candidates.iter().enumerate().map(|(position, candidate)| {
+            (position, self.fit(candidate, service, need, position))
+        });
+        let best = fits.min_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal));
+        let Some((position, fit)) = best else {
             return Err(if usable { Shortage::Full } else { Shortage::NoTarget });
         };
-        Ok(Choice { candidates, ..choice })
+        Ok(self.choice(candidates, position, fit, service, need))
+    }
+
+    /// Makes the choice of the candidate at `position`, with helpers for a long prompt.
+    fn choice(
+        &self,
+        mut candidates: Vec<Candidate<'_>>,
+        position: usize,
+        fit: Fit,
+        service: &Service,
+        need: &Need,
+    ) -> Choice {
+        let count = candidates.len();
+        let chosen = candidates.swap_remove(position);
+        let mut choice = Choice {
+            target: chosen.id.clone(),
+            address: chosen.target.member.address,
+            load: chosen.load,
+            helpers: Vec::new(),
+            read_ms: 0.0,
+            candidates: count,
+        };
+        let Some(engine) = &service.engine else { return choice };
+        choice.read_ms = engine.read_ms(need.prompt);
+        if need.is_short() || !fit.is_harmless() {
+            return choice;
+        }
+        candidates.retain(|candidate| need.may_help(&candidate.load));
+        candidates.sort_by(|a, b| a.load.read_ms.total_cmp(&b.load.read_ms));
+        candidates.truncate(MAX_HELPERS);
+        let waits: Vec<f64> =
+            candidates.iter().map(|candidate| f64::from(candidate.load.read_ms)).collect();
+        let parts = need.parts(choice.read_ms, f64::from(chosen.load.read_ms), &waits);
+        let helpers = candidates.iter().take(parts - 1).map(|candidate| Helper {
+            target: candidate.id.clone(),
+            address: candidate.target.member.address,
+        });
+        choice.helpers = helpers.collect();
+        choice.read_ms /= parts as f64;
+        choice
     }
 
     /// Records that a request is sent to `target`; returns none if the target has gone.
@@ -190,6 +245,21 @@
         Some(self.next)
     }
 
+    /// Records that `target` reads a part of a prompt; returns none if the target has gone.
+    pub fn help(&mut self, target: &str, work: Work) -> Option<WorkId> {
+        let entry = self.targets.get_mut(target)?;
+        self.next += 1;
+        entry.own.insert(self.next, work);
+        Some(self.next)
+    }
+
+    /// Records that `target` no longer reads a part of a prompt.
+    pub fn end_help(&mut self, target: &str, id: WorkId) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.own.remove(id);
+        }
+    }
+
     /// Records that the first event of a request is here.
     pub fn first_event(&mut self, target: &str, id: WorkId) {
         if let Some(target) = self.targets.get_mut(target) {
@@ -198,9 +268,17 @@
     }
 
     /// Records the end of a request.
-    pub fn end(&mut self, target: &str, id: WorkId, result: AttemptResult, now: Instant) {
+    pub fn end(
+        &mut self,
+        target: &str,
+        id: Option<WorkId>,
+        result: AttemptResult,
+        now: Instant,
+    ) {
         if let Some(target) = self.targets.get_mut(target) {
-            target.own.remove(id);
+            if let Some(id) = id {
+                target.own.remove(id);
+            }
             target.health.record(result, now);
         }
     }
@@ -231,22 +309,37 @@
         load
     }
 
-    fn cost(&self, target: &Target, load: &TargetLoad, service: &Service, need: &Need) -> f64 {
-        let cost = match &service.engine {
-            Some(engine) => need.cost(load, engine),
-            None => f64::from(load.requests + 1) * REQUEST_COST,
+    fn fit(
+        &self,
+        candidate: &Candidate<'_>,
+        service: &Service,
+        need: &Need,
+        position: usize,
+    ) -> Fit {
+        let target = candidate.target;
+        let fit = match &service.engine {
+            Some(engine) => need.fit(&candidate.load, engine, position),
+            None => Fit::of_application(&candidate.load),
         };
         let near = target.member.zone == self.zone;
-        let zoned = if near { cost } else { cost * ZONE_COST };
-        zoned / (1.0 - target.health.failure_rate()).max(0.05)
+        let zoned = if near { fit } else { fit.scaled(ZONE_COST) };
+        zoned.scaled(1.0 / (1.0 - target.health.failure_rate()).max(0.05))
     }
 }
 
+/// A target that a request may be sent to.
+struct Candidate<'a> {
+    id: &'a TargetId,
+    target: &'a Target,
+    load: TargetLoad,
+}
+
 impl Target {
     fn new(member: Member) -> Self {
         let own = InFlight::default();
         let (health, starts) = (Health::default(), StartWindow::default());
-        Self { member, lapsed: None, own, health, starts }
+        let order = XxHash64::oneshot(0, member.id.as_bytes());
+        Self { member, order, lapsed: None, own, health, starts }
     }
 
     /// Takes over a newer entry of the list; another life starts without a history.
--- a/runtime/src/control/transport.rs
+++ b/runtime/src/control/transport.rs
@@ -1,4 +1,5 @@
 //! Framing and encoding of control messages, with a count of their bytes.
+#![allow(unreachable_pub, reason = "parts of the type that `wire` returns")]
 
 use std::io;
 use tarpc::{
@@ -18,6 +19,7 @@
 /// Largest message, in bytes: a whole configuration of the design size.
 const MAX_FRAME: usize = 32 << 20;
 
+/// Counts bytes.
 pub type Count = fn(&[u8]);
 
 /// A connection whose bytes are counted.
