gateway: tell peers of long prompts at once

Ruled out: how full the packed targets are.

Change: a prompt of over 15 ms of reading starts an exchange with each peer.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 /// Part of the time until a revoked key must not work that the age of the configuration may use;
 /// the rest covers clocks that run at different rates.
@@ -45,7 +45,7 @@
     pub(crate) store: Store,
     pub(crate) roster: Roster,
     pub(crate) version: watch::Sender<u64>,
-    pub(crate) work_ended: Notify,
+    pub(crate) long_works: watch::Sender<u64>,
     core: Mutex<Core>,
 }
 
@@ -78,7 +78,7 @@
             settings,
             clock,
             version: watch::Sender::new(0),
-            work_ended: Notify::new(),
+            long_works: watch::Sender::new(0),
             core: Mutex::new(core),
         };
         Arc::new(gateway)
--- a/gateway/src/peers/task.rs
+++ b/gateway/src/peers/task.rs
@@ -20,6 +20,9 @@
 /// more processor time than fresher loads are worth.
 const INTERVAL: Duration = Duration::from_millis(150);
 
+/// Shortest time between two exchanges with a peer, about a round trip between zones.
+const SPACING: Duration = Duration::from_millis(4);
+
 /// Longest time for a connection or an exchange; peers answer within a few round trips, but a
 /// transfer of a whole configuration takes longer.
 const CALL_TIME: Duration = Duration::from_millis(600);
@@ -79,8 +82,10 @@
     let connect = timeout(CALL_TIME, TcpStream::connect(address));
     let stream = connect.await.map_err(|_| ExchangeError::Timeout)??;
     let client = PeeringClient::new(Config::default(), wire(stream)?).spawn();
+    let mut long_works = gateway.long_works.subscribe();
     loop {
         let asked = gateway.clock.uptime();
+        long_works.mark_unchanged();
         let mut context = context::current();
         context.deadline = gateway.clock.now() + CALL_TIME;
         let hello = client.exchange(context, gateway.hello(None, None)).await?;
@@ -89,6 +94,8 @@
             info!(target: "decision", address:%, entry = hello.entry; "reached a peer");
             *lost = false;
         }
-        sleep(INTERVAL).await;
+        // A failure to wait means that the gateway ends.
+        let _ = timeout(INTERVAL, long_works.changed()).await;
+        sleep(SPACING).await;
     }
 }
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -19,6 +19,10 @@
 use std::sync::Arc;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Reading of a prompt that peers hear of at once, in ms: it lengthens a pass so much that streams
+/// at the same target become late.
+const LONG_READ_MS: f64 = 15.0;
+
 /// The work of a request at a target and its helpers, which ends when it is dropped.
 pub(super) struct InFlight {
     gateway: Arc<Gateway>,
@@ -42,6 +46,9 @@
         });
         let helpers = helpers.collect();
         drop(core);
+        if choice.read_ms * (1 + choice.helpers.len()) as f64 >= LONG_READ_MS {
+            gateway.long_works.send_modify(|count| *count += 1);
+        }
         let target = choice.target.clone();
         Self { gateway, target, id, helpers, result: AttemptResult::Abandoned }
     }
@@ -71,7 +78,6 @@
             core.pool.end_help(&target, id);
         }
         drop(core);
-        self.gateway.work_ended.notify_one();
     }
 }
 
@@ -121,7 +127,8 @@
     let mut work = InFlight::begin(context, &choice);
     let call = call.send(choice.target.clone());
     let number = context.next_attempt();
-    record::chosen(&context.head.request, &choice, number, call.deadline().remaining(now));
+    let left = call.deadline().remaining(now);
+    record::chosen(&context.head.request, &context.need, &choice, number, left);
     let sent = send(context, &selected, &choice, &call, last_event).await;
     let reply = match sent {
         Ok(reply) => reply,
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -5,7 +5,7 @@
     attempt::{Answering, Failed},
     body::{AnswerBody, whole},
     handle::Context,
-    record,
+    record::{self, Times},
 };
 use fulmarhead_lib::{forward::Failure, placement::AttemptResult};
 use fulmarhead_platform::for_caller;
@@ -33,7 +33,8 @@
             work.set_result(if failed { AttemptResult::Failed } else { AttemptResult::Answered });
             let target = call.target();
             let request = &context.head.request;
-            record::answered(request, target, head.status, first, context.elapsed());
+            let times = Times { first, total: context.elapsed(), ..Times::default() };
+            record::answered(request, target, head.status, times);
             let mut response = Response::new(whole(body.to_bytes()));
             *response.status_mut() =
                 StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -4,7 +4,7 @@
     attempt::{Answering, attempt, can_move, data},
     body::{AnswerBody, Broken, streamed},
     handle::Context,
-    record,
+    record::{self, Times},
 };
 use async_stream::stream;
 use bytes::Bytes;
@@ -46,22 +46,27 @@
     stream! {
         let mut buffer = EventBuffer::after(context.head.last_event);
         let mut answering = answering;
-        let mut first = None;
+        let mut times = Times::default();
+        let mut begun = false;
+        let mut last = context.elapsed();
         loop {
             let failure = loop {
                 match read(&context, &mut answering, &mut buffer).await {
                     Read::Events(events) => {
-                        if first.is_none() {
-                            first = Some(context.elapsed());
+                        let now = context.elapsed();
+                        match begun {
+                            true => times.pause = times.pause.max(now.saturating_sub(last)),
+                            false => times.first = now,
                         }
+                        (begun, last) = (true, now);
                         answering.work.first_event();
                         yield Ok(Bytes::from(events));
                     }
                     Read::End => {
                         answering.work.set_result(AttemptResult::Answered);
                         let (request, target) = (&context.head.request, answering.call.target());
-                        let (all, status) = (context.elapsed(), answering.head.status);
-                        record::answered(request, target, status, first.unwrap_or(all), all);
+                        times.total = context.elapsed();
+                        record::answered(request, target, answering.head.status, times);
                         return;
                     }
                     Read::Broken(failure) => break failure,
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -2,19 +2,26 @@
 
 use fulmarhead_lib::{
     forward::{Ending, Verdict},
-    placement::Choice,
+    placement::{Choice, Need},
 };
 use log::info;
 use std::time::Duration;
 
 /// Records the choice of a target.
-pub(super) fn chosen(request: &str, choice: &Choice, number: usize, left: Duration) {
+pub(super) fn chosen(
+    request: &str,
+    need: &Need,
+    choice: &Choice,
+    number: usize,
+    left: Duration,
+) {
     let Choice { target, load, candidates, .. } = choice;
+    let (prompt, helpers) = (need.prompt, choice.helpers.len());
     let left_ms = millis(left);
     let (requests, writing, read_ms) = (load.requests, load.writing, load.read_ms.round());
     info!(
         target: "decision", request, attempt = number, backend = target, candidates,
-        requests, writing, read_ms, left_ms;
+        requests, writing, read_ms, prompt, helpers, left_ms;
         "sending to a target"
     );
 }
@@ -32,13 +39,25 @@
     attempt_failed(request, target, verdict.into(), after);
 }
 
+/// Times of an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Times {
+    /// From the request to the first byte.
+    pub(super) first: Duration,
+    /// Longest time between two pieces of the answer.
+    pub(super) pause: Duration,
+    /// From the request to the last byte.
+    pub(super) total: Duration,
+}
+
 /// Records a whole answer.
-pub(super) fn answered(request: &str, target: &str, status: u16, first: Duration, all: Duration) {
+pub(super) fn answered(request: &str, target: &str, status: u16, times: Times) {
     metrics::counter!("fulmarhead_answered_total").increment(1);
-    metrics::histogram!("fulmarhead_first_byte_seconds").record(first.as_secs_f64());
-    let (first_ms, total_ms) = (millis(first), millis(all));
+    metrics::histogram!("fulmarhead_first_byte_seconds").record(times.first.as_secs_f64());
+    let (first_ms, pause_ms) = (millis(times.first), millis(times.pause));
+    let total_ms = millis(times.total);
     info!(
-        target: "decision", request, backend = target, status, first_ms, total_ms;
+        target: "decision", request, backend = target, status, first_ms, pause_ms, total_ms;
         "request answered"
     );
 }
--- a/lib/src/placement/cost.rs
+++ b/lib/src/placement/cost.rs
@@ -23,7 +23,7 @@
 
 /// Part of an engine's slots that requests with short pauses fill before they use another engine.
 /// The rest takes those that entries send there before they hear of each other.
-const PACKED_PART: f64 = 0.75;
+const PACKED_PART: f64 = 0.5;
 
 /// Part of the tolerated pause or of the objective that reading may fill; the rest is for the
 /// pass itself and for what other entries send meanwhile.
