gateway: judge the silence of a target by all that it sends

Ruled out: dead targets; the same targets sent events to other requests.

Change: a request leaves a target after its patience only if the target has sent nothing to anyone and the reading that waits there does not explain it, or after twice that. A target that lets the time limit pass counts as failing.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -16,9 +16,19 @@
 use fulmarhead_platform::{Outgoing, decode_answer, outgoing_headers};
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::uri::PathAndQuery};
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio_util::task::AbortOnDropHandle;
 
+/// Time between two looks at whether a silent target is dead.
+pub(super) const SILENCE_CHECK: Duration = Duration::from_millis(100);
+
+/// Silence for a request at a target that answers others, in times of the usual patience, after
+/// which the target is taken to have forgotten the request.
+const FORGOTTEN_FACTOR: u32 = 2;
+
 /// Reading of a prompt that peers hear of at once, in ms: it lengthens a pass so much that streams
 /// at the same target become late.
 const LONG_READ_MS: f64 = 15.0;
@@ -29,6 +39,8 @@
     target: TargetId,
     id: Option<WorkId>,
     helpers: Vec<(TargetId, WorkId)>,
+    since: Instant,
+    begun: bool,
     result: AttemptResult,
 }
 
@@ -49,14 +61,17 @@
         if choice.read_ms * (1 + choice.helpers.len()) as f64 >= LONG_READ_MS {
             gateway.long_works.send_modify(|count| *count += 1);
         }
-        let target = choice.target.clone();
-        Self { gateway, target, id, helpers, result: AttemptResult::Abandoned }
+        let (target, result) = (choice.target.clone(), AttemptResult::Abandoned);
+        Self { gateway, target, id, helpers, since: now, begun: false, result }
     }
 
-    /// Records that the first event is here, so that the prompt was read.
-    pub(super) fn first_event(&mut self) {
-        let Some(id) = self.id else { return };
+    /// Records that bytes came from the target; with the first ones, the prompt was read.
+    pub(super) fn hear(&mut self) {
+        let now = self.gateway.clock.now();
         let mut core = self.gateway.core();
+        core.pool.hear(&self.target, now);
+        let Some(id) = self.id.filter(|_| !self.begun) else { return };
+        self.begun = true;
         core.pool.first_event(&self.target, id);
         for (target, id) in self.helpers.drain(..) {
             core.pool.end_help(&target, id);
@@ -191,15 +206,23 @@
     call: &Call<Sent>,
     mut pending: Pending,
 ) -> Result<Reply, SendError> {
-    let patience = context.patience();
+    let clock = &context.gateway.clock;
+    let since = clock.now();
+    let mut wait = context.patience();
     loop {
-        let left = call.deadline().remaining(context.gateway.clock.now());
-        match pending.head(left.min(patience)).await {
-            Some(response) => return Ok(pending.reply(response?)),
-            None if left <= patience => return Err(SendError::Timeout),
-            None if can_move(context, call) => return Err(SendError::Silent(patience)),
-            None => {}
+        let left = call.deadline().remaining(clock.now());
+        if let Some(response) = pending.head(left.min(wait)).await {
+            context.gateway.core().pool.hear(call.target(), clock.now());
+            return Ok(pending.reply(response?));
         }
+        let waited = clock.now().saturating_duration_since(since);
+        if left <= wait {
+            return Err(SendError::Timeout);
+        }
+        if should_move(context, call, waited) {
+            return Err(SendError::Silent(waited));
+        }
+        wait = SILENCE_CHECK;
     }
 }
 
@@ -215,7 +238,8 @@
         SendError::Silent(_) => Failure::Silent,
         _ => Failure::ConnectionLost,
     };
-    if !call.deadline().has_passed(now) {
+    let waited = now.saturating_duration_since(work.since);
+    if !call.deadline().has_passed(now) || waited >= context.patience() {
         work.set_result(AttemptResult::Failed);
     }
     let after = now.saturating_duration_since(context.received);
@@ -254,9 +278,16 @@
     }
 }
 
-/// Returns whether the call could go on at another target now.
-pub(super) fn can_move(context: &Context, call: &Call<Sent>) -> bool {
+/// Returns whether the call should go on at another target, after `silence` without a byte for it.
+///
+/// A target that answers others is busy and not dead, unless it has forgotten this request.
+pub(super) fn should_move(context: &Context, call: &Call<Sent>, silence: Duration) -> bool {
     let now = context.gateway.clock.now();
+    let patience = context.patience();
+    let dead = context.gateway.core().pool.is_silent(call.target(), patience, now);
+    if !dead && silence < patience * FORGOTTEN_FACTOR {
+        return false;
+    }
     let Ok((_, service)) = context.service() else { return false };
     call.may_repeat(now)
         && context.gateway.may_retry(&service)
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -20,7 +20,7 @@
 ) -> Result<Response<AnswerBody>, Failed> {
     let first = context.elapsed();
     let Answering { call, head, headers, body, mut work, connection } = answering;
-    work.first_event();
+    work.hear();
     let left = call.deadline().remaining(context.gateway.clock.now());
     let read = timeout(left, body.collect()).await;
     drop(connection);
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -1,7 +1,7 @@
 //! Answers that are streams of events, which go on at another target when one breaks off.
 
 use super::{
-    attempt::{Answering, attempt, can_move, data},
+    attempt::{Answering, SILENCE_CHECK, attempt, data, should_move},
     body::{AnswerBody, Broken, streamed},
     handle::Context,
     record::{self, Times},
@@ -59,7 +59,7 @@
                             false => times.first = now,
                         }
                         (begun, last) = (true, now);
-                        answering.work.first_event();
+                        answering.work.hear();
                         yield Ok(Bytes::from(events));
                     }
                     Read::End => {
@@ -92,17 +92,25 @@
 ///
 /// Silence ends the stream early only if it can go on at another target.
 async fn read(context: &Context, answering: &mut Answering, buffer: &mut EventBuffer) -> Read {
-    let patience = context.patience();
+    let clock = &context.gateway.clock;
+    let since = clock.now();
+    let mut wait = context.patience();
     loop {
-        let left = answering.call.deadline().remaining(context.gateway.clock.now());
-        let frame = match timeout(left.min(patience), next(&mut answering.body)).await {
+        let left = answering.call.deadline().remaining(clock.now());
+        let frame = match timeout(left.min(wait), next(&mut answering.body)).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Read::Broken(Failure::ConnectionLost),
             Ok(None) if buffer.is_whole() => return Read::End,
             Ok(None) => return Read::Broken(Failure::BadAnswer),
-            Err(_) if left <= patience => return Read::Broken(Failure::Timeout),
-            Err(_) if can_move(context, &answering.call) => return Read::Broken(Failure::Silent),
-            Err(_) => continue,
+            Err(_) if left <= wait => return Read::Broken(Failure::Timeout),
+            Err(_) => {
+                let silence = clock.now().saturating_duration_since(since);
+                if should_move(context, &answering.call, silence) {
+                    return Read::Broken(Failure::Silent);
+                }
+                wait = SILENCE_CHECK;
+                continue;
+            }
         };
         match buffer.push(&data(frame)) {
             Ok(events) if events.is_empty() => {}
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -94,6 +94,7 @@
     own: InFlight,
     health: Health,
     starts: StartWindow,
+    heard: Option<Instant>,
 }
 
 /// The targets of all services.
@@ -267,6 +268,22 @@
         }
     }
 
+    /// Records that bytes of any answer came from `target`.
+    pub fn hear(&mut self, target: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.heard = Some(now);
+        }
+    }
+
+    /// Returns whether `target` has sent nothing at all for `time` and the reading that waits
+    /// there does not explain it.
+    pub fn is_silent(&self, target: &str, time: Duration, now: Instant) -> bool {
+        let Some(entry) = self.targets.get(target) else { return true };
+        let reading = self.load(target, entry, now).read_ms;
+        let explained = time + Duration::from_secs_f32(reading.max(0.0) / 1e3);
+        entry.heard.is_none_or(|at| now.saturating_duration_since(at) >= explained)
+    }
+
     /// Records the end of a request.
     pub fn end(
         &mut self,
@@ -339,7 +356,7 @@
         let own = InFlight::default();
         let (health, starts) = (Health::default(), StartWindow::default());
         let order = XxHash64::oneshot(0, member.id.as_bytes());
-        Self { member, order, lapsed: None, own, health, starts }
+        Self { member, order, lapsed: None, own, health, starts, heard: None }
     }
 
     /// Takes over a newer entry of the list; another life starts without a history.
