--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -1,7 +1,7 @@
 //! A caller's request from its head to its answer.
 
 use super::{
-    attempt::attempt,
+    attempt::{Failed, attempt},
     body::AnswerBody,
     buffered, events, record,
     refusal::{problem, refuse},
@@ -30,7 +30,7 @@
     },
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time for an answer where neither the caller nor the route says one.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
@@ -139,7 +139,7 @@
         Err(status) => return problem(status, "body", "not_run"),
     };
     let context = Context {
-        need: need(&head, &selected),
+        need: need(&head, &selected, time),
         streaming: selected.route.streaming,
         gateway,
         head,
@@ -187,13 +187,14 @@
     }
 }
 
-fn need(head: &CallerHead, selected: &Selected) -> Need {
+fn need(head: &CallerHead, selected: &Selected, left: Duration) -> Need {
     let output = head.output_hint.unwrap_or(head.max_output);
     Need {
         prompt: head.prompt,
         output,
         objective: selected.route.objective,
         gap: selected.route.gap.unwrap_or(DEFAULT_GAP),
+        left,
     }
 }
 
@@ -216,9 +217,14 @@
             },
             Err(failed) => failed,
         };
+        if failed.failure == Failure::Overloaded && context.may_wait(&failed.call) {
+            sleep(ROOM_CHECK).await;
+            call = failed.call;
+            continue;
+        }
         let now = context.gateway.clock.now();
         let over = matches!(failed.failure, Failure::NoTarget | Failure::StaleConfiguration);
-        if over || !failed.call.may_send(now) || context.is_spent(&failed.failure) {
+        if over || !failed.call.may_send(now) || context.is_spent(&failed) {
             let ending = failed.call.end(failed.failure);
             record::failed(&context.head.request, ending, context.elapsed());
             return refuse(ending);
@@ -228,12 +234,24 @@
 }
 
 impl Context {
-    /// Returns whether so many attempts were made that another is pointless.
-    fn is_spent(&self, failure: &Failure) -> bool {
-        *failure == Failure::Overloaded && self.attempts.load(Ordering::Relaxed) > 0
-            || self.attempts.load(Ordering::Relaxed) >= MOST_TRIES
+    /// Returns whether a call that no target has had may wait for room.
+    fn may_wait(&self, call: &Call<Unsent>) -> bool {
+        let bound = self.need.objective.mul_f64(WAIT_PART);
+        !call.is_repeat() && call.may_send(self.gateway.clock.now()) && self.elapsed() < bound
+    }
+
+    /// Returns whether another attempt right away is pointless after `failed`.
+    fn is_spent(&self, failed: &Failed) -> bool {
+        let no_room = failed.failure == Failure::Overloaded;
+        no_room || self.attempts.load(Ordering::Relaxed) >= MOST_TRIES
     }
 }
 
+/// Time between two looks at whether there is room, about one pass of an engine.
+const ROOM_CHECK: Duration = Duration::from_millis(60);
+
+/// Part of the objective that a request waits for room; what waits longer would be late.
+const WAIT_PART: f64 = 0.5;
+
 /// Most connections that one request tries, those that could not be set up included.
 const MOST_TRIES: usize = 4;
