--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,9 +1,6 @@
 //! State of a gateway and its decisions under one lock.
 
-use crate::{
-    leases::{LeaseQueue, Lessor},
-    peers::Roster,
-};
+use crate::peers::Roster;
 use fulmarhead_lib::{
     clock::SharedClock,
     forward::Failure,
@@ -13,7 +10,7 @@
     replica::Replica,
     routes::{CallerLimits, Denial, RouteTable, Selected, Service},
 };
-use fulmarhead_platform::{NodeSettings, Orders, Store};
+use fulmarhead_platform::{NodeSettings, Store};
 use std::{
     collections::BTreeMap,
     future::pending,
@@ -46,8 +43,6 @@
     pub settings: NodeSettings,
     pub(crate) clock: SharedClock,
     pub(crate) store: Store,
-    pub(crate) orders: Orders,
-    pub(crate) lessor: Lessor,
     pub(crate) roster: Roster,
     pub(crate) version: watch::Sender<u64>,
     pub(crate) long_works: watch::Sender<u64>,
@@ -66,9 +61,8 @@
 }
 
 impl Gateway {
-    /// Returns a gateway that starts without any state, and the queue of its leases.
-    pub(crate) fn new(settings: NodeSettings, clock: SharedClock) -> (Arc<Self>, LeaseQueue) {
-        let (lessor, leases) = Lessor::new();
+    /// Returns a gateway that starts without any state.
+    pub fn new(settings: NodeSettings, clock: SharedClock) -> Arc<Self> {
         let core = Core {
             operator: Replica::default(),
             members: Replica::default(),
@@ -79,8 +73,6 @@
             stopping: false,
         };
         let gateway = Self {
-            orders: Orders::default(),
-            lessor,
             store: Store::new(settings.store),
             roster: Roster::new(settings.control, &settings.seeds),
             settings,
@@ -89,7 +81,7 @@
             long_works: watch::Sender::new(0),
             core: Mutex::new(core),
         };
-        (Arc::new(gateway), leases)
+        Arc::new(gateway)
     }
 
     /// Locks the state; never held across an await.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod dump;
 mod gateway;
-mod leases;
 mod peers;
 mod serve;
 mod store;
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -5,10 +5,7 @@
     record,
     send::{Link, Pending, Reply, SendError},
 };
-use crate::{
-    gateway::Gateway,
-    leases::{HeldLeases, hold},
-};
+use crate::gateway::Gateway;
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{AnswerHead, Call, Failure, Sent, Unsent, Verdict},
@@ -16,7 +13,7 @@
     placement::{AttemptResult, Choice, Shortage, Waive, Work, WorkId},
     routes::{Selected, Service},
 };
-use fulmarhead_platform::{Outgoing, Reader, decode_answer, outgoing_headers};
+use fulmarhead_platform::{Outgoing, decode_answer, outgoing_headers};
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::uri::PathAndQuery};
 use std::{
@@ -41,45 +38,31 @@
     gateway: Arc<Gateway>,
     target: TargetId,
     id: Option<WorkId>,
-    /// Targets that only read; their work ends with the first byte.
     helpers: Vec<(TargetId, WorkId)>,
-    /// Targets that hold parts of the prompt; their work ends with the request.
-    holders: Vec<(TargetId, WorkId)>,
-    leases: HeldLeases,
     since: Instant,
     begun: bool,
     result: AttemptResult,
 }
 
 impl InFlight {
-    fn begin(context: &Context, choice: &Choice, leases: HeldLeases) -> Self {
+    fn begin(context: &Context, choice: &Choice) -> Self {
         let gateway = Arc::clone(&context.gateway);
         let now = gateway.clock.now();
         let mut core = gateway.core();
-        let need = &context.need;
-        let (own, others): (Vec<_>, Vec<_>) =
-            choice.helpers.iter().partition(|helper| helper.target == choice.target);
-        let work = match own.first() {
-            Some(own) => Work::holding(need, own.holds, choice.read_ms, now),
-            None => Work::new(need, choice.read_ms, now),
-        };
+        let work = Work::new(&context.need, choice.read_ms, now);
         let id = core.pool.begin(&choice.target, work, now);
-        let (mut helpers, mut holders) = (Vec::new(), Vec::new());
-        for helper in others {
-            let (list, part) = match helper.holds {
-                0 => (&mut helpers, Work::helping(need, choice.read_ms, now)),
-                holds => (&mut holders, Work::holding(need, holds, choice.read_ms, now)),
-            };
-            if let Some(id) = core.pool.help(&helper.target, part) {
-                list.push((helper.target.clone(), id));
-            }
-        }
+        let part = Work::helping(&context.need, choice.read_ms, now);
+        let helpers = choice.helpers.iter().filter_map(|helper| {
+            let id = core.pool.help(&helper.target, part)?;
+            Some((helper.target.clone(), id))
+        });
+        let helpers = helpers.collect();
         drop(core);
-        if choice.read_ms >= LONG_READ_MS {
+        if choice.read_ms * (1 + choice.helpers.len()) as f64 >= LONG_READ_MS {
             gateway.long_works.send_modify(|count| *count += 1);
         }
         let (target, result) = (choice.target.clone(), AttemptResult::Abandoned);
-        Self { gateway, target, id, helpers, holders, leases, since: now, begun: false, result }
+        Self { gateway, target, id, helpers, since: now, begun: false, result }
     }
 
     /// Records that bytes came from the target; with the first ones, the prompt was read.
@@ -93,9 +76,6 @@
         for (target, id) in self.helpers.drain(..) {
             core.pool.end_help(&target, id);
         }
-        for (target, id) in &self.holders {
-            core.pool.first_event(target, *id);
-        }
     }
 
     /// Sets how the attempt ended.
@@ -109,7 +89,7 @@
         let now = self.gateway.clock.now();
         let mut core = self.gateway.core();
         core.pool.end(&self.target, self.id, self.result, now);
-        for (target, id) in self.helpers.drain(..).chain(self.holders.drain(..)) {
+        for (target, id) in self.helpers.drain(..) {
             core.pool.end_help(&target, id);
         }
         drop(core);
@@ -159,15 +139,12 @@
         Err(Shortage::Full) => return Err(Failed::new(call, Failure::Overloaded)),
     };
     let now = gateway.clock.now();
-    let Ok(leases) = hold(gateway, &context.head.request, &choice.helpers).await else {
-        return Err(Failed::new(call, Failure::Overloaded));
-    };
-    let mut work = InFlight::begin(context, &choice, leases);
+    let mut work = InFlight::begin(context, &choice);
     let call = call.send(choice.target.clone());
     let number = context.next_attempt();
     let left = call.deadline().remaining(now);
     record::chosen(&context.head.request, &context.need, &choice, number, left);
-    let sent = send(context, &selected, &choice, &call, last_event, &work.leases).await;
+    let sent = send(context, &selected, &choice, &call, last_event).await;
     let reply = match sent {
         Ok(reply) => reply,
         Err(error) => return Err(unanswered(context, call, &mut work, &error)),
@@ -199,15 +176,11 @@
     choice: &Choice,
     call: &Call<Sent>,
     last_event: Option<u64>,
-    leases: &HeldLeases,
 ) -> Result<Reply, SendError> {
     let link = Link::open(choice.address).await?;
     let left = call.deadline().remaining(context.gateway.clock.now());
-    let helpers: Vec<Reader> = choice
-        .helpers
-        .iter()
-        .map(|helper| Reader { address: helper.address, lease: leases.at(&helper.target) })
-        .collect();
+    let helpers: Vec<String> =
+        choice.helpers.iter().map(|helper| helper.address.to_string()).collect();
     let outgoing = Outgoing {
         target: &choice.target,
         team: selected.team.as_deref(),
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -139,7 +139,7 @@
         Err(status) => return problem(status, "body", "not_run"),
     };
     let context = Context {
-        need: need(&head, &selected, time),
+        need: need(&head, &selected),
         streaming: selected.route.streaming,
         gateway,
         head,
@@ -187,14 +187,13 @@
     }
 }
 
-fn need(head: &CallerHead, selected: &Selected, left: Duration) -> Need {
+fn need(head: &CallerHead, selected: &Selected) -> Need {
     let output = head.output_hint.unwrap_or(head.max_output);
     Need {
         prompt: head.prompt,
         output,
         objective: selected.route.objective,
         gap: selected.route.gap.unwrap_or(DEFAULT_GAP),
-        left,
     }
 }
 
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     gateway::Gateway,
-    leases::{LeaseQueue, keep_leases},
     peers::{PeerServer, keep_peers},
     serve::CallerServer,
     store::{Part, watch},
@@ -65,9 +64,9 @@
     shutdown: CancellationToken,
 ) -> TaskResult {
     let readiness = Readiness::default();
-    let (gateway, leases) = Gateway::new(settings, clock);
+    let gateway = Gateway::new(settings, clock);
     let process = Process::new(readiness.clone());
-    let root = root(&gateway, leases, listeners, readiness, metrics);
+    let root = root(&gateway, listeners, readiness, metrics);
     let stop = CancellationToken::new();
     tokio::select! {
         result = root.run(stop.clone()) => result,
@@ -109,7 +108,6 @@
 
 fn root(
     gateway: &Arc<Gateway>,
-    queue: LeaseQueue,
     listeners: Listeners,
     readiness: Readiness,
     metrics: Option<MetricsHandle>,
@@ -118,8 +116,7 @@
     let name = format!("gateway {}", gateway.settings.node);
     let root = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_bound(finish);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
-    let [operator, members, peers, control, leases, callers] =
-        std::array::from_fn(|_| Arc::clone(gateway));
+    let [operator, members, peers, control, callers] = std::array::from_fn(|_| Arc::clone(gateway));
     root.permanent("operators", move |stop| {
         let router = ops::router(readiness.clone(), metrics.clone(), Arc::clone(&state));
         let router = router.merge(ready(readiness.clone()));
@@ -131,7 +128,6 @@
         PeerServer::new(Arc::clone(&listeners.control)).run(Arc::clone(&control), stop)
     })
     .permanent("peers", move |stop| keep_peers(Arc::clone(&peers), stop))
-    .permanent("leases", move |stop| keep_leases(Arc::clone(&leases), queue.clone(), stop))
     .permanent("callers", move |stop| {
         CallerServer::new(Arc::clone(&listeners.callers)).run(Arc::clone(&callers), stop)
     })
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -48,11 +48,6 @@
         Self { prompt, output, read_ms, gap_ms, since: now, stage: Stage::Reading }
     }
 
-    /// Returns the work of a target that reads and holds `tokens` of the prompt.
-    pub fn holding(need: &Need, tokens: Tokens, read_ms: f64, now: Instant) -> Self {
-        Self { prompt: tokens, output: 0, ..Self::new(need, read_ms, now) }
-    }
-
     /// Returns the work of a target that reads a part of the prompt in `read_ms`.
     pub fn helping(need: &Need, read_ms: f64, now: Instant) -> Self {
         Self { prompt: 0, output: 0, stage: Stage::Helping, ..Self::new(need, read_ms, now) }
@@ -60,7 +55,7 @@
 }
 
 /// Sum of the work in flight at one target.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// Requests.
     pub requests: u32,
@@ -72,14 +67,6 @@
     pub memory: Tokens,
     /// Requests that tolerate only short pauses.
     pub short: u32,
-    /// Shortest pause that a request there tolerates, in ms; infinite without requests.
-    pub gap_ms: f32,
-}
-
-impl Default for TargetLoad {
-    fn default() -> Self {
-        Self { requests: 0, writing: 0, read_ms: 0.0, memory: 0, short: 0, gap_ms: f32::INFINITY }
-    }
 }
 
 /// Pauses up to this bound count as short, in ms: about six passes of an engine without reading.
@@ -91,11 +78,6 @@
 }
 
 impl TargetLoad {
-    /// Returns whether nothing runs or waits.
-    pub fn is_idle(&self) -> bool {
-        self.requests == 0 && self.read_ms <= 0.0
-    }
-
     /// Adds the load of another entry.
     pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
@@ -103,7 +85,6 @@
         self.read_ms += other.read_ms;
         self.memory += other.memory;
         self.short += other.short;
-        self.gap_ms = self.gap_ms.min(other.gap_ms);
     }
 }
 
@@ -141,7 +122,6 @@
                 load.requests += 1;
                 load.memory += work.prompt + work.output;
                 load.short += u32::from(is_short(work.gap_ms));
-                load.gap_ms = load.gap_ms.min(work.gap_ms as f32);
             }
             if work.stage == Stage::Writing {
                 load.writing += 1;
