--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -20,6 +20,5 @@
     let shutdown = CancellationToken::new();
     let tree = run(settings, listeners, SystemClock::shared(), Some(metrics), shutdown.clone());
     run_until_terminated(tree, &shutdown).await?;
-    info!("stopped");
     Ok(())
 }
--- /dev/null
+++ b/lib/tests/routes.rs
@@ -0,0 +1,113 @@
+//! Selection of routes and teams, and the shared budget of retries.
+
+use fulmarhead_lib::{
+    clock::Clock,
+    limits::{RetryWindow, SharedRetrySettings},
+    routes::{CallerLimits, Denial, Repeat, Route, RouteTable, RouteTableBuilder},
+};
+use std::time::Duration;
+use testutils::{ManualClock, cases};
+
+fn route(id: &str, host: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        id: id.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Always,
+        streaming: false,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        gap: None,
+        rank: 2,
+        services: vec![("one".into(), 9), ("two".into(), 1)],
+        attempts: 2,
+        anonymous,
+    }
+}
+
+fn table() -> RouteTable {
+    let mut builder = RouteTableBuilder::new(7, CallerLimits::default());
+    builder.route(route("short", "h.example", "/a/", false));
+    builder.route(route("long", "h.example", "/a/b/", false));
+    builder.route(route("open", "h.example", "/open/", true));
+    builder.team(&"club".to_owned(), Some(1), ["k1", "k2"].map(str::to_owned).into_iter());
+    builder.build()
+}
+
+type Expected = Result<(&'static str, Option<&'static str>, u8), Denial>;
+
+fn check_select(host: &str, path: &str, key: Option<&str>, expected: Expected) {
+    let found = table().select(host, path, key);
+    let found = found.map(|found| (found.route.id.clone(), found.team, found.rank));
+    let expected =
+        expected.map(|(id, team, rank)| (id.to_owned(), team.map(str::to_owned), rank));
+    assert_eq!(found, expected);
+}
+
+fn check_service(draw: f64, expected: &str) {
+    assert_eq!(route("r", "h", "/", false).service(draw).unwrap(), expected);
+}
+
+const SETTINGS: SharedRetrySettings =
+    SharedRetrySettings { share: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+
+/// Counts the retries that entries take in one window, where one of them gets all requests.
+fn check_budget(entries: usize, requests: usize) {
+    let clock = ManualClock::default();
+    let mut windows = vec![RetryWindow::default(); entries];
+    for _ in 0..requests {
+        windows[0].request(&SETTINGS, clock.now());
+    }
+    let mut taken = 0;
+    for _ in 0..9 {
+        clock.advance(Duration::from_secs(1));
+        for window in &mut windows {
+            while window.withdraw(&SETTINGS, entries, clock.now()) {
+                taken += 1;
+            }
+        }
+    }
+    let allowed = SETTINGS.share * requests as f64 + SETTINGS.slack;
+    assert!(f64::from(taken) <= allowed, "{taken} of {allowed}");
+    assert!(taken > 0);
+}
+
+cases! {
+    check_select {
+        key_of_a_team: ("h.example", "/a/x", Some("k1"), Ok(("short", Some("club"), 1))),
+        longest_prefix: ("h.example", "/a/b/c", Some("k2"), Ok(("long", Some("club"), 1))),
+        host_with_port_and_case: ("H.Example:80", "/a/", Some("k1"), Ok(("short", Some("club"), 1))),
+        /// Guards against a prefix that matches half a segment.
+        half_a_segment: ("h.example", "/ab/c", Some("k1"), Err(Denial::NoRoute)),
+        other_host: ("g.example", "/a/x", Some("k1"), Err(Denial::NoRoute)),
+        /// Guards against a key that was taken away.
+        unknown_key: ("h.example", "/a/x", Some("k3"), Err(Denial::UnknownKey)),
+        no_key: ("h.example", "/a/x", None, Err(Denial::UnknownKey)),
+        anonymous: ("h.example", "/open/x", None, Ok(("open", None, 2))),
+    }
+
+    check_service {
+        low: (0.0, "one"),
+        high: (0.95, "two"),
+        /// Guards against a draw that rounding puts beyond the last weight.
+        beyond: (1.0, "two"),
+    }
+
+    check_budget {
+        /// Guards against entries that each take the whole slack.
+        uneven_split: (3, 400),
+        no_requests: (4, 0),
+        many_entries: (21, 50),
+    }
+}
+
+/// Guards against retries of an earlier window that count for ever.
+#[test]
+fn budget_returns_after_the_window() {
+    let clock = ManualClock::default();
+    let mut window = RetryWindow::default();
+    while window.withdraw(&SETTINGS, 1, clock.now()) {}
+    assert!(!window.allows(&SETTINGS, 1, clock.now()));
+    clock.advance(SETTINGS.window);
+    assert!(window.allows(&SETTINGS, 1, clock.now()));
+}
--- a/runtime/src/process.rs
+++ b/runtime/src/process.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a process: starting, serving, draining.
 
 use crate::supervisor::TaskResult;
-use log::info;
+use log::{info, logger};
 use std::{
     marker::PhantomData,
     sync::{
@@ -94,11 +94,23 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::pin!(tree);
-    tokio::select! {
-        result = tree.as_mut() => return result,
-        _ = terminate.recv() => info!("received SIGTERM"),
-        _ = interrupt.recv() => info!("received SIGINT"),
-    }
+    let ended = tokio::select! {
+        result = tree.as_mut() => Some(result),
+        _ = terminate.recv() => {
+            info!("received SIGTERM");
+            None
+        }
+        _ = interrupt.recv() => {
+            info!("received SIGINT");
+            None
+        }
+    };
     shutdown.cancel();
-    tree.await
+    let result = match ended {
+        Some(result) => result,
+        None => tree.await,
+    };
+    info!("stopped");
+    logger().flush();
+    result
 }
