--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod dump;
 mod gateway;
+mod options;
 mod peers;
 mod serve;
 mod store;
@@ -14,5 +15,6 @@
 
 pub use self::{
     gateway::Gateway,
+    options::{Options, command},
     tree::{Listeners, run},
 };
--- /dev/null
+++ b/gateway/src/options.rs
@@ -0,0 +1,40 @@
+//! The project's own settings of a gateway. What belongs to the VM comes from the platform's
+//! settings file.
+
+use clap::{ArgMatches, Command};
+use fulmarhead_runtime::settings::{Reader, SettingErrors, flag};
+use log::LevelFilter;
+
+/// Options of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Port for operators: metrics, state and health.
+    pub ops_port: Option<u16>,
+    /// Least severe log records that are written.
+    pub log_level: LevelFilter,
+}
+
+/// Returns the command line of a gateway.
+pub fn command() -> Command {
+    Command::new("fulmarhead-gateway")
+        .version(clap::crate_version!())
+        .about("Takes callers' requests on the shared platform and calls targets directly")
+        .arg(flag("ops-port", "FULMARHEAD_OPS_PORT", "Port for metrics, state and health"))
+        .arg(
+            flag("log-level", "FULMARHEAD_LOG_LEVEL", "off, error, warn, info, debug or trace")
+                .default_value("info"),
+        )
+}
+
+impl Options {
+    /// Reads the options from the parsed command line.
+    ///
+    /// # Errors
+    /// All options that can't be parsed.
+    pub fn read(matches: &ArgMatches) -> Result<Self, SettingErrors> {
+        let mut reader = Reader::new(matches);
+        let ops_port = reader.optional("ops-port");
+        let log_level = reader.required("log-level");
+        reader.finish_with(|| Some(Self { ops_port, log_level: log_level? }))
+    }
+}
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -152,16 +152,11 @@
     judge(context, call, work, reply)
 }
 
-fn choose(
-    context: &Context,
-    service: &Service,
-    tried: &[TargetId],
-) -> Result<Choice, Shortage> {
+fn choose(context: &Context, service: &Service, tried: &[TargetId]) -> Result<Choice, Shortage> {
     let gateway = &context.gateway;
     let (now, entries) = (gateway.clock.now(), gateway.entries());
     let mut core = gateway.core();
-    let healthy =
-        core.pool.choose(service, &context.need, tried, Waive::Nothing, entries, now);
+    let healthy = core.pool.choose(service, &context.need, tried, Waive::Nothing, entries, now);
     match healthy {
         Err(Shortage::Full) => {
             core.pool.choose(service, &context.need, tried, Waive::Health, entries, now)
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -8,13 +8,7 @@
 use std::time::Duration;
 
 /// Records the choice of a target.
-pub(super) fn chosen(
-    request: &str,
-    need: &Need,
-    choice: &Choice,
-    number: usize,
-    left: Duration,
-) {
+pub(super) fn chosen(request: &str, need: &Need, choice: &Choice, number: usize, left: Duration) {
     let Choice { target, load, candidates, .. } = choice;
     let (prompt, helpers) = (need.prompt, choice.helpers.len());
     let left_ms = millis(left);
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -84,7 +84,10 @@
 
 impl Pending {
     /// Waits up to `limit` for the head of the answer; returns none if it is not here by then.
-    pub(super) async fn head(&mut self, limit: Duration) -> Option<hyper::Result<Response<Incoming>>> {
+    pub(super) async fn head(
+        &mut self,
+        limit: Duration,
+    ) -> Option<hyper::Result<Response<Incoming>>> {
         timeout(limit, &mut self.answer).await.ok()
     }
 
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -16,6 +16,7 @@
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
+use log::warn;
 use std::{future::pending, io, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -36,19 +37,35 @@
     callers: Arc<TcpListener>,
     control: Arc<TcpListener>,
     ready: Arc<TcpListener>,
+    ops: Option<Arc<TcpListener>>,
 }
 
 impl Listeners {
-    /// Binds the addresses of `settings`.
+    /// Takes listeners that are bound already.
+    pub fn from_bound(callers: TcpListener, ready: TcpListener, control: TcpListener) -> Self {
+        let [callers, ready, control] = [callers, ready, control].map(Arc::new);
+        Self { callers, control, ready, ops: None }
+    }
+
+    /// Binds the addresses of `settings`, and `ops_port` beside them for operators.
     ///
     /// # Errors
-    /// If an address can't be bound.
-    pub async fn bind(settings: &NodeSettings) -> io::Result<Self> {
-        Ok(Self {
-            callers: Arc::new(TcpListener::bind(settings.callers).await?),
-            control: Arc::new(TcpListener::bind(settings.control).await?),
-            ready: Arc::new(TcpListener::bind(settings.ready).await?),
-        })
+    /// If an address of the settings can't be bound. Without the operators' port the gateway
+    /// serves all the same.
+    pub async fn bind(settings: &NodeSettings, ops_port: Option<u16>) -> io::Result<Self> {
+        let bound = Self::from_bound(
+            TcpListener::bind(settings.callers).await?,
+            TcpListener::bind(settings.ready).await?,
+            TcpListener::bind(settings.control).await?,
+        );
+        let Some(port) = ops_port else { return Ok(bound) };
+        match TcpListener::bind((settings.ready.ip(), port)).await {
+            Ok(ops) => Ok(Self { ops: Some(Arc::new(ops)), ..bound }),
+            Err(error) => {
+                warn!(port, error:%; "operators' port can't be bound");
+                Ok(bound)
+            }
+        }
     }
 }
 
@@ -117,10 +134,17 @@
     let root = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_bound(finish);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
     let [operator, members, peers, control, callers] = std::array::from_fn(|_| Arc::clone(gateway));
-    root.permanent("operators", move |stop| {
-        let router = ops::router(readiness.clone(), metrics.clone(), Arc::clone(&state));
-        let router = router.merge(ready(readiness.clone()));
-        Server::new(Arc::clone(&listeners.ready), router, ServerSettings::default()).run(stop)
+    let probe = ready(readiness.clone());
+    let root = match listeners.ops {
+        Some(ops) => root.permanent("operators", move |stop| {
+            let router = ops::router(readiness.clone(), metrics.clone(), Arc::clone(&state));
+            Server::new(Arc::clone(&ops), router, ServerSettings::default()).run(stop)
+        }),
+        None => root,
+    };
+    root.permanent("readiness", move |stop| {
+        let settings = ServerSettings::default();
+        Server::new(Arc::clone(&listeners.ready), probe.clone(), settings).run(stop)
     })
     .permanent("operator watch", move |stop| watch(Arc::clone(&operator), Part::Operator, stop))
     .permanent("member watch", move |stop| watch(Arc::clone(&members), Part::Members, stop))
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,8 +1,7 @@
 //! The targets of all services and the choice among them.
 
 use super::{
-    AttemptResult, Health, Member, MemberState, Need, TargetLoad, Work, WorkId,
-    cost::Fit,
+    AttemptResult, Health, Member, MemberState, Need, TargetLoad, Work, WorkId, cost::Fit,
     load::InFlight,
 };
 use crate::{
@@ -188,9 +187,10 @@
             }
         }
         candidates.sort_by_key(|candidate| candidate.target.order);
-        let fits = candidates.iter().enumerate().map(|(position, candidate)| {
-            (position, self.fit(candidate, service, need, position))
-        });
+        let fits = candidates
+            .iter()
+            .enumerate()
+            .map(|(position, candidate)| (position, self.fit(candidate, service, need, position)));
         let best = fits.min_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal));
         let Some((position, fit)) = best else {
             return Err(if usable { Shortage::Full } else { Shortage::NoTarget });
@@ -285,13 +285,7 @@
     }
 
     /// Records the end of a request.
-    pub fn end(
-        &mut self,
-        target: &str,
-        id: Option<WorkId>,
-        result: AttemptResult,
-        now: Instant,
-    ) {
+    pub fn end(&mut self, target: &str, id: Option<WorkId>, result: AttemptResult, now: Instant) {
         if let Some(target) = self.targets.get_mut(target) {
             if let Some(id) = id {
                 target.own.remove(id);
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -54,7 +54,12 @@
 }
 
 /// Pushes pieces after the event `last` and compares the whole events.
-fn check_events(last: Option<u64>, pieces: &[&str], expected: Result<&str, EventError>, whole: bool) {
+fn check_events(
+    last: Option<u64>,
+    pieces: &[&str],
+    expected: Result<&str, EventError>,
+    whole: bool,
+) {
     let mut buffer = EventBuffer::after(last);
     let mut events = Vec::new();
     let mut result = Ok(());
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -39,8 +39,7 @@
 fn check_select(host: &str, path: &str, key: Option<&str>, expected: Expected) {
     let found = table().select(host, path, key);
     let found = found.map(|found| (found.route.id.clone(), found.team, found.rank));
-    let expected =
-        expected.map(|(id, team, rank)| (id.to_owned(), team.map(str::to_owned), rank));
+    let expected = expected.map(|(id, team, rank)| (id.to_owned(), team.map(str::to_owned), rank));
     assert_eq!(found, expected);
 }
 
