--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of a target for each request, from what this entry and its peers have in flight.
 
 mod cost;
+mod group;
 mod health;
 mod load;
 mod member;
