--- a/lib/src/placement/cost.rs
+++ b/lib/src/placement/cost.rs
@@ -29,9 +29,6 @@
 /// pass itself and for what other entries send meanwhile.
 const USED_PART: f64 = 0.4;
 
-/// Part of a tolerated pause that reading and passes may fill.
-const TOLERATED_PART: f64 = 0.85;
-
 /// How well a target suits a request; less is better, and the class goes before the cost.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct Fit {
@@ -50,6 +47,11 @@
     pub(super) fn scaled(self, factor: f64) -> Self {
         Self { cost: self.cost * factor, ..self }
     }
+
+    /// Returns whether the target takes the request without harm to anyone.
+    pub(super) fn is_harmless(self) -> bool {
+        self.class == 0
+    }
 }
 
 impl Need {
@@ -82,31 +84,42 @@
     }
 
     fn long_fit(&self, load: &TargetLoad, engine: &EngineModel, position: usize) -> Fit {
+        let fits = load.memory + self.prompt + self.output <= engine.memory;
+        let free = load.requests < engine.slots;
         let place = 1.0 / (1.0 + position as f64);
         let cost = f64::from(load.read_ms) + f64::from(load.writing) + place;
-        match (self.has_room(load, engine), load.short) {
+        match (fits && free, load.short) {
             (true, 0) => Fit { class: 0, cost },
             (true, short) => Fit { class: 1, cost: cost + f64::from(short) * millis(self.gap) },
             (false, _) => Fit { class: 2, cost: load.memory as f64 },
         }
     }
 
-    /// Returns whether an engine with `load` can read `part` ms of the prompt without a pause
-    /// that one of its streams does not tolerate.
-    pub(super) fn is_harmless(&self, load: &TargetLoad, engine: &EngineModel, part: f64) -> bool {
-        let pause = pass_ms(load, engine) + f64::from(load.read_ms) + part;
-        load.short == 0 && pause <= TOLERATED_PART * f64::from(load.gap_ms)
+    /// Returns whether an engine with `load` may read parts of the prompt for another.
+    pub(super) fn may_help(&self, load: &TargetLoad) -> bool {
+        load.short == 0
     }
 
-    /// Returns whether a first event after `first` ms keeps the objective well, and parts of
-    /// `part` ms suit streams like its own.
-    pub(super) fn is_early(&self, first: f64, part: f64) -> bool {
-        first <= USED_PART * millis(self.objective) && part <= USED_PART * millis(self.gap)
-    }
-
-    /// Returns whether the engine may take the request, beside what it has.
-    pub(super) fn has_room(&self, load: &TargetLoad, engine: &EngineModel) -> bool {
-        load.requests < engine.slots && load.memory + self.prompt + self.output <= engine.memory
+    /// Returns how many of the engines whose reading takes `waits`, in ms and ascending, share
+    /// the prompt: the fewest whose parts disturb no one and that keep the objective.
+    pub(super) fn parts(&self, read_ms: f64, first_wait: f64, waits: &[f64]) -> usize {
+        let bound = USED_PART * millis(self.gap);
+        let enough = USED_PART * millis(self.objective);
+        let mut best = (f64::INFINITY, 1);
+        let mut wait = first_wait;
+        for count in 1..=waits.len() + 1 {
+            if count > 1 {
+                wait = wait.max(waits[count - 2]);
+            }
+            let part = read_ms / count as f64;
+            if part <= bound && wait + part <= enough {
+                return count;
+            }
+            if wait + part < best.0 {
+                best = (wait + part, count);
+            }
+        }
+        best.1
     }
 }
 
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -55,7 +55,7 @@
 }
 
 /// Sum of the work in flight at one target.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// Requests.
     pub requests: u32,
@@ -67,14 +67,6 @@
     pub memory: Tokens,
     /// Requests that tolerate only short pauses.
     pub short: u32,
-    /// Shortest pause that a request there tolerates, in ms; infinite without requests.
-    pub gap_ms: f32,
-}
-
-impl Default for TargetLoad {
-    fn default() -> Self {
-        Self { requests: 0, writing: 0, read_ms: 0.0, memory: 0, short: 0, gap_ms: f32::INFINITY }
-    }
 }
 
 /// Pauses up to this bound count as short, in ms: about six passes of an engine without reading.
@@ -93,7 +85,6 @@
         self.read_ms += other.read_ms;
         self.memory += other.memory;
         self.short += other.short;
-        self.gap_ms = self.gap_ms.min(other.gap_ms);
     }
 }
 
@@ -131,7 +122,6 @@
                 load.requests += 1;
                 load.memory += work.prompt + work.output;
                 load.short += u32::from(is_short(work.gap_ms));
-                load.gap_ms = load.gap_ms.min(work.gap_ms as f32);
             }
             if work.stage == Stage::Writing {
                 load.writing += 1;
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -1,7 +1,6 @@
 //! Choice of a target for each request, from what this entry and its peers have in flight.
 
 mod cost;
-mod group;
 mod health;
 mod load;
 mod member;
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -2,7 +2,7 @@
 
 use super::{
     AttemptResult, Health, Member, MemberState, Need, TargetLoad, Work, WorkId, cost::Fit,
-    group::Group, load::InFlight,
+    load::InFlight,
 };
 use crate::{
     ids::{EntryId, ServiceId, TargetId, ZoneId},
@@ -80,6 +80,9 @@
 /// Extra cost of a target in another zone, as a share: a little more than the round trip.
 const ZONE_COST: f64 = 1.05;
 
+/// Most targets that read parts of one prompt, by the platform's protocol.
+const MAX_HELPERS: usize = 16;
+
 /// One target.
 #[derive(Clone, Debug)]
 struct Target {
@@ -184,29 +187,54 @@
             }
         }
         candidates.sort_by_key(|candidate| candidate.target.order);
-        if let Some(engine) = &service.engine
-            && !need.is_short()
-            && let Some(choice) = Group::new(&candidates, engine, need).choose()
-        {
-            return Ok(choice);
-        }
         let fits = candidates
             .iter()
             .enumerate()
             .map(|(position, candidate)| (position, self.fit(candidate, service, need, position)));
         let best = fits.min_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal));
-        let Some((position, _)) = best else {
+        let Some((position, fit)) = best else {
             return Err(if usable { Shortage::Full } else { Shortage::NoTarget });
         };
-        let chosen = &candidates[position];
-        Ok(Choice {
+        Ok(self.choice(candidates, position, fit, service, need))
+    }
+
+    /// Makes the choice of the candidate at `position`, with helpers for a long prompt.
+    fn choice(
+        &self,
+        mut candidates: Vec<Candidate<'_>>,
+        position: usize,
+        fit: Fit,
+        service: &Service,
+        need: &Need,
+    ) -> Choice {
+        let count = candidates.len();
+        let chosen = candidates.swap_remove(position);
+        let mut choice = Choice {
             target: chosen.id.clone(),
-            address: chosen.address(),
+            address: chosen.target.member.address,
             load: chosen.load,
             helpers: Vec::new(),
-            read_ms: service.engine.map_or(0.0, |engine| engine.read_ms(need.prompt)),
-            candidates: candidates.len(),
-        })
+            read_ms: 0.0,
+            candidates: count,
+        };
+        let Some(engine) = &service.engine else { return choice };
+        choice.read_ms = engine.read_ms(need.prompt);
+        if need.is_short() || !fit.is_harmless() {
+            return choice;
+        }
+        candidates.retain(|candidate| need.may_help(&candidate.load));
+        candidates.sort_by(|a, b| a.load.read_ms.total_cmp(&b.load.read_ms));
+        candidates.truncate(MAX_HELPERS);
+        let waits: Vec<f64> =
+            candidates.iter().map(|candidate| f64::from(candidate.load.read_ms)).collect();
+        let parts = need.parts(choice.read_ms, f64::from(chosen.load.read_ms), &waits);
+        let helpers = candidates.iter().take(parts - 1).map(|candidate| Helper {
+            target: candidate.id.clone(),
+            address: candidate.target.member.address,
+        });
+        choice.helpers = helpers.collect();
+        choice.read_ms /= parts as f64;
+        choice
     }
 
     /// Records that a request is sent to `target`; returns none if the target has gone.
@@ -311,22 +339,10 @@
 }
 
 /// A target that a request may be sent to.
-pub(super) struct Candidate<'a> {
-    pub(super) id: &'a TargetId,
+struct Candidate<'a> {
+    id: &'a TargetId,
     target: &'a Target,
-    pub(super) load: TargetLoad,
-}
-
-impl Candidate<'_> {
-    /// Returns the target's address.
-    pub(super) fn address(&self) -> SocketAddr {
-        self.target.member.address
-    }
-
-    /// Returns the target as a reader of a part of a prompt.
-    pub(super) fn helper(&self) -> Helper {
-        Helper { target: self.id.clone(), address: self.address() }
-    }
+    load: TargetLoad,
 }
 
 impl Target {
