--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -1,7 +1,6 @@
 //! The arguments of the command line.
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use fulmarhead_lib::ids::RequestId;
 use std::{net::SocketAddr, path::PathBuf};
 
 /// Shown below the long help of the program and of each command.
@@ -21,7 +20,7 @@
     /// Prints the whole state of one process.
     Dump { address: SocketAddr },
     /// Explains what happened to a request.
-    Explain { request: RequestId, logs: Vec<PathBuf>, json: bool },
+    Explain { request: String, logs: Vec<PathBuf>, json: bool },
 }
 
 /// Reads the arguments of the process; ends it on invalid ones.
@@ -118,7 +117,7 @@
         .required(true)
         .value_name("REQUEST_ID")
         .help("Identifier of the request, as in the answer to the caller")
-        .value_parser(value_parser!(RequestId));
+        .value_parser(value_parser!(String));
     let logs = Arg::new("logs")
         .required(true)
         .num_args(1..)
--- a/cli/src/explain/lines.rs
+++ b/cli/src/explain/lines.rs
@@ -2,7 +2,6 @@
 
 use crate::failure::Failure;
 use chrono::{DateTime, FixedOffset};
-use fulmarhead_lib::ids::RequestId;
 use serde::Deserialize;
 use std::{
     collections::BTreeMap,
@@ -43,7 +42,7 @@
 /// Returns the decisions on `request` in order of time.
 ///
 /// Lines that are not JSON, such as those of another program in the same file, are passed over.
-pub(super) fn find(request: RequestId, logs: &[PathBuf]) -> Result<Vec<Decision>, Failure> {
+pub(super) fn find(request: &str, logs: &[PathBuf]) -> Result<Vec<Decision>, Failure> {
     let mut decisions = Vec::new();
     for log in logs {
         read(request, log, &mut decisions)
@@ -53,11 +52,10 @@
     Ok(decisions)
 }
 
-fn read(request: RequestId, log: &Path, decisions: &mut Vec<Decision>) -> std::io::Result<()> {
-    let request = request.to_string();
+fn read(request: &str, log: &Path, decisions: &mut Vec<Decision>) -> std::io::Result<()> {
     for line in BufReader::new(File::open(log)?).split(b'\n') {
         let Ok(line) = serde_json::from_slice::<Line>(&line?) else { continue };
-        let concerns = line.attributes.get("request") == Some(&request);
+        let concerns = line.attributes.get("request").map(String::as_str) == Some(request);
         if line.target == "decision" && concerns {
             let Line { time: DateTime3339(time), message, attributes, .. } = line;
             decisions.push(Decision { time, message, attributes, file: log.to_owned() });
--- a/cli/src/explain/mod.rs
+++ b/cli/src/explain/mod.rs
@@ -8,15 +8,14 @@
     spent::{gaps, spent},
 };
 use crate::failure::Failure;
-use fulmarhead_lib::ids::RequestId;
 use serde_json::{Value, json};
 use std::path::PathBuf;
 
 /// Shows the decisions on a request; fails if the logs have none.
-pub(crate) fn run(request: RequestId, logs: &[PathBuf], json: bool) -> Result<(), Failure> {
+pub(crate) fn run(request: &str, logs: &[PathBuf], json: bool) -> Result<(), Failure> {
     let decisions = find(request, logs)?;
     if decisions.is_empty() {
-        return Err(Failure::UnknownRequest(request));
+        return Err(Failure::UnknownRequest(request.to_owned()));
     }
     match json {
         true => println!("{}", serde_json::to_string_pretty(&to_json(&decisions))?),
--- a/cli/src/failure.rs
+++ b/cli/src/failure.rs
@@ -1,6 +1,5 @@
 //! Why a command failed.
 
-use fulmarhead_lib::ids::RequestId;
 use fulmarhead_runtime::http::ClientError;
 use std::{io, net::SocketAddr, path::PathBuf};
 
@@ -36,7 +35,7 @@
     Unreached(usize),
     /// No log has a decision on the request.
     #[error("no decision on request {0} in the logs")]
-    UnknownRequest(RequestId),
+    UnknownRequest(String),
     /// The result can't be written as JSON.
     #[error("result can't be written: {0}")]
     Json(#[from] serde_json::Error),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -20,7 +20,7 @@
         Arguments::Check { file, json } => check::run(&file, json),
         Arguments::Status { addresses, json } => status::run(&addresses, json).await,
         Arguments::Dump { address } => dump::run(address).await,
-        Arguments::Explain { request, logs, json } => explain::run(request, &logs, json),
+        Arguments::Explain { request, logs, json } => explain::run(&request, &logs, json),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -1,15 +1,18 @@
 //! Choice of a target for each request, from what this entry and its peers have in flight.
 
+mod choice;
 mod cost;
 mod health;
 mod load;
 mod member;
 mod pool;
+mod target;
 
 pub use self::{
+    choice::{Choice, Helper, Shortage, Waive},
     cost::Need,
     health::{AttemptResult, Health},
     load::{Stage, TargetLoad, Work, WorkId},
     member::{Member, MemberState},
-    pool::{Choice, Helper, Pool, PoolView, Shortage, Waive},
+    pool::{Pool, PoolView},
 };
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,67 +1,20 @@
 //! The targets of all services and the choice among them.
 
 use super::{
-    AttemptResult, Health, Member, MemberState, Need, TargetLoad, Work, WorkId, cost::Fit,
-    load::InFlight,
+    AttemptResult, Choice, Helper, Member, MemberState, Need, Shortage, TargetLoad, Waive, Work,
+    WorkId,
+    cost::Fit,
+    target::{Candidate, Target},
 };
 use crate::{
     ids::{EntryId, ServiceId, TargetId, ZoneId},
-    limits::StartWindow,
     routes::Service,
 };
 use std::{
     cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     time::{Duration, Instant},
 };
-use strum::{Display, IntoStaticStr};
-use twox_hash::XxHash64;
-
-/// Why no target was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, thiserror::Error)]
-#[strum(serialize_all = "snake_case")]
-pub enum Shortage {
-    /// The service has no target that may be used.
-    NoTarget,
-    /// Each target has as much work as it takes.
-    Full,
-}
-
-/// The target that gets a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Target.
-    pub target: TargetId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its load before the request.
-    pub load: TargetLoad,
-    /// Targets that read parts of the prompt for it.
-    pub helpers: Vec<Helper>,
-    /// Time to read the prompt, or the target's part of it, in ms.
-    pub read_ms: f64,
-    /// Number of targets that were compared.
-    pub candidates: usize,
-}
-
-/// A target that reads a part of a prompt for another.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Helper {
-    /// Target.
-    pub target: TargetId,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
-/// Whether a choice may use targets that were tried or that failed lately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Waive {
-    /// No.
-    Nothing,
-    /// Targets that failed lately may be used.
-    Health,
-}
 
 /// Loads that a peer reported, and when.
 #[derive(Clone, Debug)]
@@ -73,29 +26,12 @@
 /// Time after which the report of a silent peer no longer counts, a few exchanges.
 const PEER_EXPIRY: Duration = Duration::from_secs(2);
 
-/// Time that a target is kept after it lapsed beside an outage of the list, which shows it again
-/// about two seconds after its return if it lives.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
-
 /// Extra cost of a target in another zone, as a share: a little more than the round trip.
 const ZONE_COST: f64 = 1.05;
 
 /// Most targets that read parts of one prompt, by the platform's protocol.
 const MAX_HELPERS: usize = 16;
 
-/// One target.
-#[derive(Clone, Debug)]
-struct Target {
-    member: Member,
-    /// Place in an order that all entries share and that mixes the zones.
-    order: u64,
-    lapsed: Option<Instant>,
-    own: InFlight,
-    health: Health,
-    starts: StartWindow,
-    heard: Option<Instant>,
-}
-
 /// The targets of all services.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -307,7 +243,7 @@
         target.member.service == service.id
             && target.member.state == MemberState::Ready
             && !self.out.contains(&target.member.zone)
-            && target.lapsed.is_none_or(|at| now.saturating_duration_since(at) < LAPSE_GRACE)
+            && (target.lapsed.is_none() || target.is_kept(now))
     }
 
     fn load(&self, id: &str, target: &Target, now: Instant) -> TargetLoad {
@@ -337,41 +273,3 @@
         zoned.scaled(1.0 / (1.0 - target.health.failure_rate()).max(0.05))
     }
 }
-
-/// A target that a request may be sent to.
-struct Candidate<'a> {
-    id: &'a TargetId,
-    target: &'a Target,
-    load: TargetLoad,
-}
-
-impl Target {
-    fn new(member: Member) -> Self {
-        let own = InFlight::default();
-        let (health, starts) = (Health::default(), StartWindow::default());
-        let order = XxHash64::oneshot(0, member.id.as_bytes());
-        Self { member, order, lapsed: None, own, health, starts, heard: None }
-    }
-
-    /// Takes over a newer entry of the list; another life starts without a history.
-    fn renew(&mut self, member: &Member) {
-        if self.member.born != member.born || self.member.address != member.address {
-            self.health = Health::default();
-        }
-        self.member = member.clone();
-        self.lapsed = None;
-    }
-
-    /// Returns whether a target that is not on the list can be forgotten.
-    fn is_over(&self, now: Instant) -> bool {
-        let kept = self.lapsed.is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE);
-        !kept && self.own.is_empty()
-    }
-
-    /// Returns whether one more start keeps within this entry's share of what a cold target
-    /// takes. Every target counts as cold, since one can become cold before anyone knows.
-    fn may_start(&self, service: &Service, entries: usize, now: Instant) -> bool {
-        let rate = service.warm_up.rate;
-        rate <= 0.0 || self.starts.allows(rate / entries.max(1) as f64, now)
-    }
-}
--- a/standins/tests/engine/calls.rs
+++ b/standins/tests/engine/calls.rs
@@ -31,6 +31,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH
     }
+
+    fn uptime(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Runs a test on paused time.
