--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod options;
 mod peers;
+mod reload;
 mod serve;
 mod store;
 mod tree;
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -3,6 +3,7 @@
 use crate::{
     gateway::Gateway,
     peers::{PeerServer, keep_peers},
+    reload::reload,
     serve::CallerServer,
     store::{Part, watch},
 };
@@ -133,7 +134,8 @@
     let name = format!("gateway {}", gateway.settings.node);
     let root = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_bound(finish);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
-    let [operator, members, peers, control, callers] = std::array::from_fn(|_| Arc::clone(gateway));
+    let [operator, members, peers, control, settings, callers] =
+        std::array::from_fn(|_| Arc::clone(gateway));
     let probe = ready(readiness.clone());
     let root = match listeners.ops {
         Some(ops) => root.permanent("operators", move |stop| {
@@ -152,6 +154,7 @@
         PeerServer::new(Arc::clone(&listeners.control)).run(Arc::clone(&control), stop)
     })
     .permanent("peers", move |stop| keep_peers(Arc::clone(&peers), stop))
+    .permanent("settings", move |stop| reload(Arc::clone(&settings), stop))
     .permanent("callers", move |stop| {
         CallerServer::new(Arc::clone(&listeners.callers)).run(Arc::clone(&callers), stop)
     })
