gateway: wait longer in watches of the store

Change: a watch of the list waits 1.9 s and one of the operator's documents 1.3 s in place of 1 s. Two waits and an answer stay below the age that keys need and below the time in which a silent connection has to be noticed.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -23,8 +23,9 @@
 /// the rest covers clocks that run at different rates.
 const FRESH_PART: f64 = 0.95;
 
-/// Age up to which a configuration is taken to show all routes and keys: two waits of a watch.
-const CERTAIN_AGE: Duration = Duration::from_millis(2_500);
+/// Age up to which a configuration is taken to show all routes and keys: two waits of a watch and
+/// the time of an answer.
+const CERTAIN_AGE: Duration = Duration::from_millis(3_000);
 
 /// Why a request is not forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -10,9 +10,14 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Time that a watch waits. Each answer confirms that the copy is current, which keys rest on
-/// that may be revoked within seconds, so this is a fraction of that bound.
-const WATCH_TIME: Duration = Duration::from_millis(1_000);
+/// Time that a watch of the operator's documents waits. Each answer confirms that the copy is
+/// current, which keys rest on that may be revoked within seconds; a copy is up to two such times
+/// old, which is about half of that bound.
+const OPERATOR_WATCH: Duration = Duration::from_millis(1_300);
+
+/// Time that a watch of the list of targets waits. With the time for an answer it bounds how long
+/// a connection that went silent goes unnoticed, which has to be within three seconds.
+const MEMBER_WATCH: Duration = Duration::from_millis(1_900);
 
 /// Pause after the first failed call; the store answers in milliseconds.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -40,6 +45,14 @@
         }
     }
 
+    /// Returns how long a watch of the part waits.
+    fn watch_time(self) -> Duration {
+        match self {
+            Self::Operator => OPERATOR_WATCH,
+            Self::Members => MEMBER_WATCH,
+        }
+    }
+
     /// Returns the copy of the part.
     pub(crate) fn replica(self, core: &mut Core) -> &mut Replica {
         match self {
@@ -115,7 +128,7 @@
 async fn follow(gateway: &Gateway, part: Part) -> Result<(), StoreError> {
     let asked = gateway.clock.uptime();
     let after = part.replica(&mut gateway.core()).at();
-    let found = gateway.store.watch(part.prefix(), after, WATCH_TIME).await?;
+    let found = gateway.store.watch(part.prefix(), after, part.watch_time()).await?;
     let changed = !found.changes.is_empty();
     let mut core = gateway.core();
     let replica = part.replica(&mut core);
