--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -181,7 +181,6 @@
         team: selected.team.as_deref(),
         left,
         last_event,
-        rank: None,
         helpers: &helpers,
     };
     let path = context.uri.path_and_query().map_or("/", PathAndQuery::as_str);
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -15,7 +15,7 @@
 use fulmarhead_platform::for_caller;
 use futures::Stream;
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming};
+use hyper::{Response, StatusCode};
 use tokio::time::timeout;
 
 /// Returns the answer whose body is the target's stream.
@@ -97,7 +97,7 @@
     let mut wait = context.patience();
     loop {
         let left = answering.call.deadline().remaining(clock.now());
-        let frame = match timeout(left.min(wait), next(&mut answering.body)).await {
+        let frame = match timeout(left.min(wait), answering.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Read::Broken(Failure::ConnectionLost),
             Ok(None) if buffer.is_whole() => return Read::End,
@@ -120,10 +120,6 @@
     }
 }
 
-async fn next(body: &mut Incoming) -> Option<Result<hyper::body::Frame<Bytes>, hyper::Error>> {
-    body.frame().await
-}
-
 /// Goes on with the stream at another target, after the last event that the caller has.
 async fn resume(
     context: &Context,
