entry: let an answer that has begun wait for its time limit

Cause: a stream whose engine died asked for another target as if it were new. A short prompt may wait 1.5 s for one, so that with the other engine warming up beside load the entry refused the rest of the answer as overloaded, though the caller had a part of it and seconds of its limit were left.

Ruled out: the agents' refusals (retryable, they lead to another round) and the retry budget (its refusal has another reason).

Change: the patience of a request that an attempt had taken is its time limit. The case broken_stream_waits_for_its_limit fails without it.

--- a/entry/src/dispatch/search.rs
+++ b/entry/src/dispatch/search.rs
@@ -19,6 +19,8 @@
     service: Service,
     prefixes: Prefixes,
     began: Instant,
+    /// Whether an attempt was taken before and broke off.
+    begun: bool,
     /// Whether the reserve of the zones let the request pass.
     passed: bool,
     queued: Option<Queued>,
@@ -41,6 +43,7 @@
             service: Service::Model(call.prompt.model.clone()),
             prefixes: Prefixes::of(&call.prompt.text),
             began: entry.clock.now(),
+            begun: false,
             passed: false,
             queued: None,
         }
@@ -49,6 +52,7 @@
     /// Begins again after an attempt that had been taken broke off.
     pub(super) fn restart(&mut self, now: Instant) {
         self.began = now;
+        self.begun = true;
     }
 
     /// Returns what the request needs at `now`.
@@ -57,6 +61,7 @@
             cost: request.cost,
             waited: now.saturating_duration_since(self.began),
             remaining: request.deadline.remaining(now),
+            begun: self.begun,
         }
     }
 
--- a/lib/benches/decisions.rs
+++ b/lib/benches/decisions.rs
@@ -68,7 +68,8 @@
     let service = Service::Model("assistant".to_owned());
     let tried = BTreeSet::new();
     let cost = Cost { prompt: 4_000, output: 64 };
-    let need = Need { cost, waited: Duration::ZERO, remaining: Duration::from_secs(30) };
+    let need =
+        Need { cost, waited: Duration::ZERO, remaining: Duration::from_secs(30), begun: false };
     let prefixes = Prefixes::of(&"survey. ".repeat(2_000));
     let affinity = Affinity::default();
     let mut group = criterion.benchmark_group("choose a target");
--- a/lib/src/routing/urgency.rs
+++ b/lib/src/routing/urgency.rs
@@ -26,6 +26,8 @@
     pub waited: Duration,
     /// Remaining time limit.
     pub remaining: Duration,
+    /// Whether an attempt was taken and broke off, so that a refusal would lose what it did.
+    pub begun: bool,
 }
 
 impl Need {
@@ -52,9 +54,12 @@
     /// Returns how long the request may wait for a target before it is refused.
     ///
     /// A caller with a short prompt is better served by an early refusal; long work may wait,
-    /// and keeps time for its prefill.
+    /// and keeps time for its prefill. An answer that has begun waits until its time limit.
     pub fn patience(&self) -> Duration {
         let limit = self.waited + self.remaining;
+        if self.begun {
+            return limit;
+        }
         match self.cost.class() {
             LengthClass::Short => (limit / 2).min(Duration::from_millis(1_500)),
             LengthClass::Medium => (limit / 2).min(Duration::from_secs(5)),
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -38,7 +38,7 @@
 
 fn need(prompt: Tokens) -> Need {
     let cost = Cost { prompt, output: 32 };
-    Need { cost, waited: Duration::ZERO, remaining: Duration::from_secs(30) }
+    Need { cost, waited: Duration::ZERO, remaining: Duration::from_secs(30), begun: false }
 }
 
 fn router(entries: usize) -> Router {
@@ -236,6 +236,12 @@
             Need { waited: Duration::from_secs(2), ..need(4_000) },
             Some(Duration::from_millis(200)),
         ),
+        /// Guards against an early refusal of an answer that the caller has a part of.
+        broken_stream_waits_for_its_limit: (
+            &[],
+            Need { waited: Duration::from_secs(2), begun: true, ..need(4_000) },
+            None,
+        ),
         /// Guards against prompts that fill the memory of the entry.
         memory_is_bounded: (
             &[900_000; 18], need(900_000), Some(Duration::from_millis(40_500)),
