placement: spread what entries send alike, and refuse what would be late

An entry's share of the start rate of 36/s was one start a second for each engine.

Change: short requests take the best of a few engines that differ from draw to draw, among as many as they need; 15 in 100 engines are kept for long prompts while the others have room. A short request that no engine can start in time is refused with a time to come back that can be met; one that came back is taken, late or not. The start rate uses the rule's overrun and tolerance (59/s), less a fifth for connections that take long.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -75,7 +75,7 @@
             list_trouble: None,
             fetches: BTreeMap::new(),
             table: None,
-            pool: Pool::new(settings.zone.clone()),
+            pool: Pool::new(settings.zone.clone(), settings.starts),
             retries: BTreeMap::new(),
             stopping: false,
         };
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -10,7 +10,7 @@
 use fulmarhead_lib::{
     forward::{AnswerHead, Call, Failure, Sent, Unsent, Verdict},
     ids::TargetId,
-    placement::{AttemptResult, Choice, Shortage, Waive, Work, WorkId},
+    placement::{AttemptResult, Choice, Need, Shortage, Waive, Work, WorkId},
     routes::{Selected, Service},
 };
 use fulmarhead_platform::{Outgoing, decode_answer, outgoing_headers};
@@ -155,12 +155,10 @@
 fn choose(context: &Context, service: &Service, tried: &[TargetId]) -> Result<Choice, Shortage> {
     let gateway = &context.gateway;
     let (now, entries) = (gateway.clock.now(), gateway.entries());
+    let need = Need { overdue: context.need.overdue || !tried.is_empty(), ..context.need };
     let mut core = gateway.core();
-    let healthy = core.pool.choose(service, &context.need, tried, Waive::Nothing, entries, now);
-    match healthy {
-        Err(Shortage::Full) => {
-            core.pool.choose(service, &context.need, tried, Waive::Health, entries, now)
-        }
+    match core.pool.choose(service, &need, tried, Waive::Nothing, entries, now) {
+        Err(Shortage::Full) => core.pool.choose(service, &need, tried, Waive::Health, entries, now),
         result => result,
     }
 }
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -4,7 +4,7 @@
     attempt::{Failed, attempt},
     body::AnswerBody,
     buffered, events, record,
-    refusal::{problem, refuse},
+    refusal::{BUSY_PAUSE, pause, problem, refuse},
 };
 use crate::gateway::{Gateway, Refused};
 use bytes::Bytes;
@@ -53,6 +53,10 @@
 /// 110 ms.
 const SHORTEST_ANSWER: Duration = Duration::from_millis(200);
 
+/// Part of the route's time limit below which a caller's time shows that it comes back after a
+/// refusal; callers wait at least this part at first.
+const FIRST_PART: f64 = 0.83;
+
 /// A request with all that its attempts need.
 pub(super) struct Context {
     pub(super) gateway: Arc<Gateway>,
@@ -63,6 +67,8 @@
     pub(super) body: Bytes,
     pub(super) need: Need,
     pub(super) streaming: bool,
+    /// Time limit of the route.
+    limit: Duration,
     pub(super) received: Instant,
     draw: f64,
     attempts: AtomicUsize,
@@ -141,6 +147,7 @@
     let context = Context {
         need: need(&head, &selected),
         streaming: selected.route.streaming,
+        limit: selected.route.timeout,
         gateway,
         head,
         method: parts.method,
@@ -169,7 +176,7 @@
             let ending = Ending::NotRun(failure);
             let after = gateway.clock.now().saturating_duration_since(received);
             record::failed(&head.request, ending, after);
-            return refuse(ending);
+            return refuse(ending, BUSY_PAUSE);
         }
     };
     let version = *gateway.version.borrow();
@@ -188,12 +195,16 @@
 }
 
 fn need(head: &CallerHead, selected: &Selected) -> Need {
+    let returned =
+        head.deadline.is_some_and(|time| time < selected.route.timeout.mul_f64(FIRST_PART));
     let output = head.output_hint.unwrap_or(head.max_output);
     Need {
         prompt: head.prompt,
         output,
         objective: selected.route.objective,
         gap: selected.route.gap.unwrap_or(DEFAULT_GAP),
+        overdue: returned,
+        draw: rand::rng().random(),
     }
 }
 
@@ -226,7 +237,8 @@
         if over || !failed.call.may_send(now) || context.is_spent(&failed) {
             let ending = failed.call.end(failed.failure);
             record::failed(&context.head.request, ending, context.elapsed());
-            return refuse(ending);
+            let short = context.streaming && context.need.is_short();
+            return refuse(ending, pause(failed.failure, short, context.limit));
         }
         call = failed.call;
     }
--- a/gateway/src/serve/refusal.rs
+++ b/gateway/src/serve/refusal.rs
@@ -5,15 +5,32 @@
 use fulmarhead_lib::forward::{Ending, Failure};
 use fulmarhead_platform::retry_after;
 use hyper::{Response, StatusCode, header::CONTENT_TYPE};
+use rand::RngExt;
 use serde_json::json;
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 /// Time after which a caller may come back when the fleet has no room: a few answers have ended
 /// by then.
-const BUSY_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const BUSY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Returns the answer for a request that no target answered.
-pub(super) fn refuse(ending: Ending) -> Response<AnswerBody> {
+/// Part of the route's time limit after which a caller may come back that was refused since it
+/// would have been late. It can't be on time any more, and the load may have passed by then.
+const LATE_PART: Range<f64> = 0.18..0.26;
+
+/// Returns after which time a caller may come back that is refused with `failure`; `short` says
+/// that its request is only worth much at once.
+pub(super) fn pause(failure: Failure, short: bool, limit: Duration) -> Duration {
+    match failure {
+        Failure::Overloaded | Failure::Rejected if short => {
+            limit.mul_f64(rand::rng().random_range(LATE_PART))
+        }
+        _ => BUSY_PAUSE,
+    }
+}
+
+/// Returns the answer for a request that no target answered; the caller may come back after
+/// `pause` if it has not run.
+pub(super) fn refuse(ending: Ending, pause: Duration) -> Response<AnswerBody> {
     let (status, outcome, failure) = match ending {
         Ending::NotRun(failure) => (StatusCode::SERVICE_UNAVAILABLE, "not_run", failure),
         Ending::Unknown(Failure::Timeout) => {
@@ -23,7 +40,7 @@
     };
     let mut response = problem(status, failure.into(), outcome);
     if matches!(ending, Ending::NotRun(_)) {
-        let (name, value) = retry_after(BUSY_PAUSE);
+        let (name, value) = retry_after(pause);
         response.headers_mut().insert(name, value);
     }
     response
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -9,7 +9,7 @@
 pub use self::{
     reserve::{ZoneReserve, usable_rate},
     retry::{RetryBudget, RetrySettings},
-    start::StartWindow,
+    start::{StartBound, StartWindow},
     team::{TeamBudget, TeamLimiter},
     window::{RetryWindow, SharedRetrySettings},
 };
--- a/lib/src/limits/start.rs
+++ b/lib/src/limits/start.rs
@@ -8,6 +8,27 @@
 /// Window of the bound.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Part of the bound that is used; the rest is for connections that take long to be set up, so
+/// that a request arrives later than it was counted.
+const USED_PART: f64 = 0.8;
+
+/// How far the starts at a cold target may exceed its rate, over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartBound {
+    /// Factor of the rate.
+    pub overrun: f64,
+    /// Starts in each second beyond that.
+    pub tolerance: f64,
+}
+
+impl StartBound {
+    /// Returns the starts in each second that one of `entries` entries may make at a target that
+    /// takes `rate` while it is cold.
+    pub fn share(&self, rate: f64, entries: usize) -> f64 {
+        USED_PART * (rate * self.overrun + self.tolerance) / entries.max(1) as f64
+    }
+}
+
 /// Starts of the last second at one target.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StartWindow(VecDeque<Instant>);
--- a/lib/src/placement/cost.rs
+++ b/lib/src/placement/cost.rs
@@ -6,7 +6,7 @@
 
 use super::load::{TargetLoad, is_short, pass_ms};
 use crate::{ids::Tokens, routes::EngineModel};
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,18 +19,28 @@
     pub objective: Duration,
     /// Longest pause between two events that earns full credit.
     pub gap: Duration,
+    /// Whether a late answer is better than none, because the objective has passed already.
+    pub overdue: bool,
+    /// Random number that spreads the choices of entries that know the same.
+    pub draw: u64,
 }
 
 /// Part of an engine's slots that requests with short pauses fill before they use another engine.
-/// The rest takes those that entries send there before they hear of each other.
 const PACKED_PART: f64 = 0.5;
 
+/// Part of the slots that they fill before they use the engines that are kept for long prompts.
+/// The rest takes those that entries send there before they hear of each other.
+const TIGHT_PART: f64 = 0.85;
+
+/// Part of the engines that is kept for long prompts while the others have room.
+const KEPT_PART: f64 = 0.15;
+
 /// Part of the tolerated pause or of the objective that reading may fill; the rest is for the
 /// pass itself and for what other entries send meanwhile.
 const USED_PART: f64 = 0.4;
 
 /// How well a target suits a request; less is better, and the class goes before the cost.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Fit {
     /// 0 is without harm to anyone, 1 without expected harm to the request, 2 any other.
     class: u8,
@@ -48,6 +58,21 @@
         Self { cost: self.cost * factor, ..self }
     }
 
+    /// Returns the order of two fits.
+    pub(super) fn compare(&self, other: &Self) -> Ordering {
+        self.class.cmp(&other.class).then(self.cost.total_cmp(&other.cost))
+    }
+
+    /// Returns the class.
+    pub(super) fn class(self) -> u8 {
+        self.class
+    }
+
+    /// Returns whether the request would be late at the target.
+    pub(super) fn is_late(self) -> bool {
+        self.class > 1
+    }
+
     /// Returns whether the target takes the request without harm to anyone.
     pub(super) fn is_harmless(self) -> bool {
         self.class == 0
@@ -56,27 +81,33 @@
 
 impl Need {
     /// Returns whether the request tolerates only short pauses.
-    pub(super) fn is_short(&self) -> bool {
+    pub fn is_short(&self) -> bool {
         is_short(millis(self.gap))
     }
 
     /// Returns how well the engine at `position` of the shared order, with `load`, suits the
-    /// request.
-    pub(super) fn fit(&self, load: &TargetLoad, engine: &EngineModel, position: usize) -> Fit {
+    /// request, where the first `packed` engines are for requests with short pauses.
+    pub(super) fn fit(
+        &self,
+        load: &TargetLoad,
+        engine: &EngineModel,
+        position: usize,
+        packed: usize,
+    ) -> Fit {
         match self.is_short() {
-            true => self.short_fit(load, engine, position),
+            true => self.short_fit(load, engine, position < packed),
             false => self.long_fit(load, engine, position),
         }
     }
 
-    fn short_fit(&self, load: &TargetLoad, engine: &EngineModel, position: usize) -> Fit {
+    fn short_fit(&self, load: &TargetLoad, engine: &EngineModel, packed: bool) -> Fit {
         let reading = f64::from(load.read_ms);
-        let packed = f64::from(load.requests) < PACKED_PART * f64::from(engine.slots);
-        if packed && reading <= USED_PART * millis(self.gap) {
-            return Fit { class: 0, cost: position as f64 };
-        }
+        let free = load.requests < engine.slots;
         let first = pass_ms(load, engine) + reading + engine.read_ms(self.prompt);
-        if load.requests < engine.slots && first <= millis(self.objective) {
+        if free && packed && reading <= USED_PART * millis(self.gap) {
+            return Fit { class: 0, cost: f64::from(load.requests) + reading / engine.pass_ms() };
+        }
+        if free && first <= millis(self.objective) {
             return Fit { class: 1, cost: first };
         }
         let waiting = load.requests.saturating_sub(engine.slots - 1);
@@ -123,6 +154,14 @@
     }
 }
 
+/// Returns how many of `engines` engines take the `short` requests with short pauses.
+pub(super) fn packed(short: u32, engines: usize, engine: &EngineModel) -> usize {
+    let needed = |part: f64| (f64::from(short) / (part * f64::from(engine.slots))).ceil() as usize;
+    let kept = (KEPT_PART * engines as f64).ceil() as usize;
+    let most = engines.saturating_sub(kept);
+    needed(PACKED_PART).min(most).max(needed(TIGHT_PART)).clamp(1, engines.max(1))
+}
+
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -3,18 +3,19 @@
 use super::{
     AttemptResult, Choice, Helper, LoadChanges, Member, MemberState, Need, Shortage, TargetLoad,
     Waive, Work, WorkId,
-    cost::Fit,
+    cost::{Fit, packed},
     target::{Candidate, Target},
 };
 use crate::{
     ids::{EntryId, ServiceId, TargetId, ZoneId},
+    limits::StartBound,
     routes::Service,
 };
 use std::{
-    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
+use twox_hash::XxHash64;
 
 /// Loads that a peer reported, and when.
 #[derive(Clone, Debug)]
@@ -39,10 +40,14 @@
 /// Most targets that read parts of one prompt, by the platform's protocol.
 const MAX_HELPERS: usize = 16;
 
+/// Targets that a request with short pauses is compared for.
+const SAMPLE: usize = 3;
+
 /// The targets of all services.
 #[derive(Clone, Debug)]
 pub struct Pool {
     zone: ZoneId,
+    starts: StartBound,
     targets: BTreeMap<TargetId, Target>,
     peers: BTreeMap<EntryId, PeerLoads>,
     out: BTreeSet<ZoneId>,
@@ -61,10 +66,10 @@
 }
 
 impl Pool {
-    /// Returns an empty pool of an entry in `zone`.
-    pub fn new(zone: ZoneId) -> Self {
+    /// Returns an empty pool of an entry in `zone`; `starts` bounds the work for cold targets.
+    pub fn new(zone: ZoneId, starts: StartBound) -> Self {
         let (targets, peers) = (BTreeMap::new(), BTreeMap::new());
-        Self { zone, targets, peers, out: BTreeSet::new(), next: 0 }
+        Self { zone, starts, targets, peers, out: BTreeSet::new(), next: 0 }
     }
 
     /// Takes over the platform's list.
@@ -117,29 +122,51 @@
         entries: usize,
         now: Instant,
     ) -> Result<Choice, Shortage> {
-        let mut usable = false;
-        let mut candidates = Vec::new();
-        for (id, target) in &self.targets {
-            if !self.may_use(target, service, now) || tried.contains(id) {
-                continue;
-            }
-            usable = true;
-            let paused = waive == Waive::Nothing && target.health.is_paused(now);
-            if !paused && target.may_start(service, entries, now) {
-                let load = self.load(id, target, now);
-                candidates.push(Candidate { id, target, load });
-            }
+        let usable = self.usable(service, tried, waive, entries, now);
+        if usable.iter().all(|candidate| tried.contains(candidate.id)) {
+            return Err(Shortage::NoTarget);
         }
-        candidates.sort_by_key(|candidate| candidate.target.order);
-        let fits = candidates
-            .iter()
-            .enumerate()
-            .map(|(position, candidate)| (position, self.fit(candidate, service, need, position)));
-        let best = fits.min_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal));
-        let Some((position, fit)) = best else {
-            return Err(if usable { Shortage::Full } else { Shortage::NoTarget });
-        };
-        Ok(self.choice(candidates, position, fit, service, need))
+        let short = usable.iter().map(|candidate| candidate.load.short).sum::<u32>() + 1;
+        let engine = service.engine.as_ref();
+        let packed = engine.map_or(0, |engine| packed(short, usable.len(), engine));
+        let open = usable.iter().enumerate().filter(|(_, candidate)| candidate.open);
+        let mut fits: Vec<(usize, Fit)> = open
+            .map(|(position, candidate)| {
+                (position, self.fit(candidate, service, need, position, packed))
+            })
+            .collect();
+        if need.is_short() && engine.is_some() {
+            let size = (usable.len() / entries.max(1)).max(SAMPLE);
+            sample(&mut fits, &usable, need.draw, size);
+        }
+        let best = fits.into_iter().min_by(|(_, a), (_, b)| a.compare(b));
+        let (position, fit) = best.ok_or(Shortage::Full)?;
+        if engine.is_some() && need.is_short() && fit.is_late() && !need.overdue {
+            return Err(Shortage::Full);
+        }
+        Ok(self.choice(usable, position, fit, service, need))
+    }
+
+    /// Returns the targets that may get work of `service`, in the order that all entries share.
+    fn usable(
+        &self,
+        service: &Service,
+        tried: &[TargetId],
+        waive: Waive,
+        entries: usize,
+        now: Instant,
+    ) -> Vec<Candidate<'_>> {
+        let targets = self.targets.iter().filter(|(_, target)| self.may_use(target, service, now));
+        let mut usable: Vec<_> = targets
+            .map(|(id, target)| {
+                let paused = waive == Waive::Nothing && target.health.is_paused(now);
+                let starts = target.may_start(service, &self.starts, entries, now);
+                let open = !paused && starts && !tried.contains(id);
+                Candidate { id, target, load: self.load(id, target, now), open }
+            })
+            .collect();
+        usable.sort_by_key(|candidate| candidate.target.order);
+        usable
     }
 
     /// Makes the choice of the candidate at `position`, with helpers for a long prompt.
@@ -151,8 +178,9 @@
         service: &Service,
         need: &Need,
     ) -> Choice {
-        let count = candidates.len();
         let chosen = candidates.swap_remove(position);
+        candidates.retain(|candidate| candidate.open);
+        let count = candidates.len() + 1;
         let mut choice = Choice {
             target: chosen.id.clone(),
             address: chosen.target.member.address,
@@ -270,10 +298,11 @@
         service: &Service,
         need: &Need,
         position: usize,
+        packed: usize,
     ) -> Fit {
         let target = candidate.target;
         let fit = match &service.engine {
-            Some(engine) => need.fit(&candidate.load, engine, position),
+            Some(engine) => need.fit(&candidate.load, engine, position, packed),
             None => Fit::of_application(&candidate.load),
         };
         let near = target.member.zone == self.zone;
@@ -281,3 +310,14 @@
         zoned.scaled(1.0 / (1.0 - target.health.failure_rate()).max(0.05))
     }
 }
+
+/// Leaves a few of the fits of the best class, which differ from draw to draw: entries that know
+/// the same do not all send to the same target.
+fn sample(fits: &mut Vec<(usize, Fit)>, candidates: &[Candidate<'_>], draw: u64, size: usize) {
+    let best = fits.iter().map(|(_, fit)| fit.class()).min();
+    fits.retain(|(_, fit)| Some(fit.class()) == best);
+    fits.sort_by_key(|(position, _)| {
+        XxHash64::oneshot(draw, &candidates[*position].target.order.to_le_bytes())
+    });
+    fits.truncate(size);
+}
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -1,7 +1,11 @@
 //! One target: its entry in the list, its work in flight and its history.
 
 use super::{Health, Member, TargetLoad, load::InFlight};
-use crate::{ids::TargetId, limits::StartWindow, routes::Service};
+use crate::{
+    ids::TargetId,
+    limits::{StartBound, StartWindow},
+    routes::Service,
+};
 use std::time::{Duration, Instant};
 use twox_hash::XxHash64;
 
@@ -51,15 +55,23 @@
 
     /// Returns whether one more start keeps within this entry's share of what a cold target
     /// takes. Every target counts as cold, since one can become cold before anyone knows.
-    pub(super) fn may_start(&self, service: &Service, entries: usize, now: Instant) -> bool {
+    pub(super) fn may_start(
+        &self,
+        service: &Service,
+        bound: &StartBound,
+        entries: usize,
+        now: Instant,
+    ) -> bool {
         let rate = service.warm_up.rate;
-        rate <= 0.0 || self.starts.allows(rate / entries.max(1) as f64, now)
+        rate <= 0.0 || self.starts.allows(bound.share(rate, entries), now)
     }
 }
 
-/// A target that a request may be sent to.
+/// A target of the service of a request.
 pub(super) struct Candidate<'a> {
     pub(super) id: &'a TargetId,
     pub(super) target: &'a Target,
     pub(super) load: TargetLoad,
+    /// Whether the request may be sent there now.
+    pub(super) open: bool,
 }
--- a/lib/src/routes/service.rs
+++ b/lib/src/routes/service.rs
@@ -59,6 +59,11 @@
         tokens / self.read_rate + tokens * tokens / 2.0 / 1e6 * self.pairs_ms
     }
 
+    /// Returns the time of a pass with one request that generates, in ms.
+    pub fn pass_ms(&self) -> f64 {
+        f64::from(self.stride) * self.step_ms
+    }
+
     /// Returns the time of a step with `running` requests that generate after `context` tokens
     /// in sum, in ms.
     pub fn step_time(&self, running: u32, context: Tokens) -> f64 {
