gateway: hold prompts over one engine's memory on leases of several

Cause: a prompt larger than an engine's memory was sent to one engine, which refuses it, and again when its caller came back.

Change: such a prompt is read within the objective by the fewest idle engines, some of which hold a part of it by reserve orders, all or nothing, renewed while the answer runs and released with it. A lease ends by itself before unused memory has to be free. A tenth of the engines stays idle. Callers that waited in vain come back when they may find room.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State of a gateway and its decisions under one lock.
 
 use crate::{
+    leases::{LeaseQueue, Lessor},
     peers::{Fetch, Roster},
     store::Part,
 };
@@ -13,7 +14,7 @@
     replica::Replica,
     routes::{CallerLimits, Denial, RouteTable, Selected, Service},
 };
-use fulmarhead_platform::{NodeSettings, Store};
+use fulmarhead_platform::{NodeSettings, Orders, Store};
 use std::{
     collections::BTreeMap,
     future::pending,
@@ -47,6 +48,8 @@
     pub settings: NodeSettings,
     pub(crate) clock: SharedClock,
     pub(crate) store: Store,
+    pub(crate) orders: Orders,
+    pub(crate) lessor: Lessor,
     pub(crate) roster: Roster,
     pub(crate) version: watch::Sender<u64>,
     /// Counts what the other entries have to know at once.
@@ -67,8 +70,9 @@
 }
 
 impl Gateway {
-    /// Returns a gateway that starts without any state.
-    pub fn new(settings: NodeSettings, clock: SharedClock) -> Arc<Self> {
+    /// Returns a gateway that starts without any state, and the queue of its leases.
+    pub(crate) fn new(settings: NodeSettings, clock: SharedClock) -> (Arc<Self>, LeaseQueue) {
+        let (lessor, leases) = Lessor::new();
         let core = Core {
             operator: Replica::default(),
             members: Replica::default(),
@@ -80,6 +84,8 @@
             stopping: false,
         };
         let gateway = Self {
+            orders: Orders::default(),
+            lessor,
             store: Store::new(settings.store),
             roster: Roster::new(settings.control, &settings.seeds),
             settings,
@@ -88,7 +94,7 @@
             news: watch::Sender::new(0),
             core: Mutex::new(core),
         };
-        Arc::new(gateway)
+        (Arc::new(gateway), leases)
     }
 
     /// Locks the state; never held across an await.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod dump;
 mod gateway;
+mod leases;
 mod options;
 mod peers;
 mod reload;
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -5,7 +5,10 @@
     record,
     send::{Link, Pending, Reply, SendError},
 };
-use crate::gateway::Gateway;
+use crate::{
+    gateway::Gateway,
+    leases::{HeldLeases, hold},
+};
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{AnswerHead, Call, Failure, Sent, Unsent, Verdict},
@@ -13,7 +16,7 @@
     placement::{AttemptResult, Choice, Need, Shortage, Waive, Work, WorkId},
     routes::{Selected, Service},
 };
-use fulmarhead_platform::{Outgoing, decode_answer, outgoing_headers};
+use fulmarhead_platform::{Outgoing, Reader, decode_answer, outgoing_headers};
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, http::uri::PathAndQuery};
 use std::{
@@ -38,31 +41,39 @@
     gateway: Arc<Gateway>,
     target: TargetId,
     id: Option<WorkId>,
+    /// Targets that only read; their work ends with the first byte.
     helpers: Vec<(TargetId, WorkId)>,
+    /// Targets that hold parts of the prompt; their work ends with the request.
+    holders: Vec<(TargetId, WorkId)>,
+    leases: HeldLeases,
     since: Instant,
     begun: bool,
     result: AttemptResult,
 }
 
 impl InFlight {
-    fn begin(context: &Context, choice: &Choice) -> Self {
+    fn begin(context: &Context, choice: &Choice, leases: HeldLeases) -> Self {
         let gateway = Arc::clone(&context.gateway);
         let now = gateway.clock.now();
         let mut core = gateway.core();
-        let work = Work::new(&context.need, choice.read_ms, now);
+        let held = choice.helpers.iter().map(|helper| helper.holds).sum();
+        let work = Work::new(&context.need, choice.read_ms, now).without(held);
         let id = core.pool.begin(&choice.target, work, now);
-        let part = Work::helping(&context.need, choice.read_ms, now);
-        let helpers = choice.helpers.iter().filter_map(|helper| {
-            let id = core.pool.help(&helper.target, part)?;
-            Some((helper.target.clone(), id))
-        });
-        let helpers = helpers.collect();
+        let (mut helpers, mut holders) = (Vec::new(), Vec::new());
+        for helper in &choice.helpers {
+            let (list, part) = match helper.holds {
+                0 => (&mut helpers, Work::helping(&context.need, choice.read_ms, now)),
+                holds => (&mut holders, Work::holding(&context.need, holds, choice.read_ms, now)),
+            };
+            let id = core.pool.help(&helper.target, part);
+            list.extend(id.map(|id| (helper.target.clone(), id)));
+        }
         drop(core);
         if choice.read_ms * (1 + choice.helpers.len()) as f64 >= LONG_READ_MS {
             gateway.tell_peers();
         }
         let (target, result) = (choice.target.clone(), AttemptResult::Abandoned);
-        Self { gateway, target, id, helpers, since: now, begun: false, result }
+        Self { gateway, target, id, helpers, holders, leases, since: now, begun: false, result }
     }
 
     /// Records that bytes came from the target; with the first ones, the prompt was read.
@@ -76,6 +87,9 @@
         for (target, id) in self.helpers.drain(..) {
             core.pool.end_help(&target, id);
         }
+        for (target, id) in &self.holders {
+            core.pool.first_event(target, *id);
+        }
     }
 
     /// Sets how the attempt ended.
@@ -89,7 +103,7 @@
         let now = self.gateway.clock.now();
         let mut core = self.gateway.core();
         core.pool.end(&self.target, self.id, self.result, now);
-        for (target, id) in self.helpers.drain(..) {
+        for (target, id) in self.helpers.drain(..).chain(self.holders.drain(..)) {
             core.pool.end_help(&target, id);
         }
         drop(core);
@@ -138,13 +152,16 @@
         Err(Shortage::NoTarget) => return Err(Failed::new(call, Failure::NoTarget)),
         Err(Shortage::Full) => return Err(Failed::new(call, Failure::Overloaded)),
     };
+    let Ok(leases) = hold(gateway, &context.head.request, &choice.helpers).await else {
+        return Err(Failed::new(call, Failure::Overloaded));
+    };
     let now = gateway.clock.now();
-    let mut work = InFlight::begin(context, &choice);
+    let mut work = InFlight::begin(context, &choice, leases);
     let call = call.send(choice.target.clone());
     let number = context.next_attempt();
     let left = call.deadline().remaining(now);
     record::chosen(&context.head.request, &context.need, &choice, number, left);
-    let sent = send(context, &selected, &choice, &call, last_event).await;
+    let sent = send(context, &selected, &choice, &call, last_event, &work.leases).await;
     let reply = match sent {
         Ok(reply) => reply,
         Err(error) => return Err(unanswered(context, call, &mut work, &error)),
@@ -169,11 +186,15 @@
     choice: &Choice,
     call: &Call<Sent>,
     last_event: Option<u64>,
+    leases: &HeldLeases,
 ) -> Result<Reply, SendError> {
     let link = Link::open(choice.address).await?;
     let left = call.deadline().remaining(context.gateway.clock.now());
-    let helpers: Vec<String> =
-        choice.helpers.iter().map(|helper| helper.address.to_string()).collect();
+    let readers = choice
+        .helpers
+        .iter()
+        .map(|helper| Reader { address: helper.address, lease: leases.at(&helper.target) });
+    let helpers: Vec<Reader> = readers.collect();
     let outgoing = Outgoing {
         target: &choice.target,
         team: selected.team.as_deref(),
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -237,8 +237,8 @@
         if over || !failed.call.may_send(now) || context.is_spent(&failed) {
             let ending = failed.call.end(failed.failure);
             record::failed(&context.head.request, ending, context.elapsed());
-            let short = context.streaming && context.need.is_short();
-            return refuse(ending, pause(failed.failure, short, context.limit));
+            let late = context.streaming && context.is_late();
+            return refuse(ending, pause(failed.failure, late, context.limit));
         }
         call = failed.call;
     }
@@ -251,6 +251,11 @@
         !call.is_repeat() && call.may_send(self.gateway.clock.now()) && self.elapsed() < bound
     }
 
+    /// Returns whether a caller that comes back soon gets its first event too late.
+    fn is_late(&self) -> bool {
+        self.need.is_short() || self.elapsed() >= self.need.objective.mul_f64(WAIT_PART)
+    }
+
     /// Returns whether another attempt right away is pointless after `failed`.
     fn is_spent(&self, failed: &Failed) -> bool {
         let no_room = failed.failure == Failure::Overloaded;
--- a/gateway/src/serve/refusal.rs
+++ b/gateway/src/serve/refusal.rs
@@ -17,11 +17,11 @@
 /// would have been late. It can't be on time any more, and the load may have passed by then.
 const LATE_PART: Range<f64> = 0.18..0.26;
 
-/// Returns after which time a caller may come back that is refused with `failure`; `short` says
-/// that its request is only worth much at once.
-pub(super) fn pause(failure: Failure, short: bool, limit: Duration) -> Duration {
+/// Returns after which time a caller may come back that is refused with `failure`; `late` says
+/// that it can't be on time any more.
+pub(super) fn pause(failure: Failure, late: bool, limit: Duration) -> Duration {
     match failure {
-        Failure::Overloaded | Failure::Rejected if short => {
+        Failure::Overloaded | Failure::Rejected if late => {
             limit.mul_f64(rand::rng().random_range(LATE_PART))
         }
         _ => BUSY_PAUSE,
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     gateway::Gateway,
+    leases::{LeaseQueue, keep_leases},
     peers::{PeerServer, keep_peers},
     reload::reload,
     serve::CallerServer,
@@ -82,9 +83,9 @@
     shutdown: CancellationToken,
 ) -> TaskResult {
     let readiness = Readiness::default();
-    let gateway = Gateway::new(settings, clock);
+    let (gateway, leases) = Gateway::new(settings, clock);
     let process = Process::new(readiness.clone());
-    let root = root(&gateway, listeners, readiness, metrics);
+    let root = root(&gateway, leases, listeners, readiness, metrics);
     let stop = CancellationToken::new();
     tokio::select! {
         result = root.run(stop.clone()) => result,
@@ -126,6 +127,7 @@
 
 fn root(
     gateway: &Arc<Gateway>,
+    queue: LeaseQueue,
     listeners: Listeners,
     readiness: Readiness,
     metrics: Option<MetricsHandle>,
@@ -134,7 +136,7 @@
     let name = format!("gateway {}", gateway.settings.node);
     let root = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_bound(finish);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
-    let [operator, members, peers, control, settings, callers] =
+    let [operator, members, peers, control, settings, leases, callers] =
         std::array::from_fn(|_| Arc::clone(gateway));
     let probe = ready(readiness.clone());
     let root = match listeners.ops {
@@ -155,6 +157,7 @@
     })
     .permanent("peers", move |stop| keep_peers(Arc::clone(&peers), stop))
     .permanent("settings", move |stop| reload(Arc::clone(&settings), stop))
+    .permanent("leases", move |stop| keep_leases(Arc::clone(&leases), queue.clone(), stop))
     .permanent("callers", move |stop| {
         CallerServer::new(Arc::clone(&listeners.callers)).run(Arc::clone(&callers), stop)
     })
--- a/lib/src/placement/choice.rs
+++ b/lib/src/placement/choice.rs
@@ -1,7 +1,7 @@
 //! The choice of a target for one request.
 
 use super::TargetLoad;
-use crate::ids::TargetId;
+use crate::ids::{TargetId, Tokens};
 use std::net::SocketAddr;
 use strum::{Display, IntoStaticStr};
 
@@ -39,6 +39,8 @@
     pub target: TargetId,
     /// Its address.
     pub address: SocketAddr,
+    /// Part of the prompt that it holds until the answer ends, in tokens; 0 if it only reads.
+    pub holds: Tokens,
 }
 
 /// Whether a choice may use targets that were tried or that failed lately.
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -51,6 +51,16 @@
         Self { prompt, output, read_ms, gap_ms, since: now, stage: Stage::Reading }
     }
 
+    /// Returns the work of a target where others hold `tokens` of the prompt.
+    pub fn without(self, tokens: Tokens) -> Self {
+        Self { prompt: self.prompt.saturating_sub(tokens), ..self }
+    }
+
+    /// Returns the work of a target that reads a part of the prompt and holds `tokens` of it.
+    pub fn holding(need: &Need, tokens: Tokens, read_ms: f64, now: Instant) -> Self {
+        Self { prompt: tokens, output: 0, ..Self::new(need, read_ms, now) }
+    }
+
     /// Returns the work of a target that reads a part of the prompt in `read_ms`.
     pub fn helping(need: &Need, read_ms: f64, now: Instant) -> Self {
         Self { prompt: 0, output: 0, stage: Stage::Helping, ..Self::new(need, read_ms, now) }
@@ -81,6 +91,11 @@
 }
 
 impl TargetLoad {
+    /// Returns whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.requests == 0 && self.read_ms < CLOSE_MS
+    }
+
     /// Adds the load of another entry.
     pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod member;
 mod pool;
+mod shared;
 mod target;
 
 pub use self::{
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -4,6 +4,7 @@
     AttemptResult, Choice, Helper, LoadChanges, Member, MemberState, Need, Shortage, TargetLoad,
     Waive, Work, WorkId,
     cost::{Fit, packed},
+    shared,
     target::{Candidate, Target},
 };
 use crate::{
@@ -38,7 +39,7 @@
 const ZONE_COST: f64 = 1.05;
 
 /// Most targets that read parts of one prompt, by the platform's protocol.
-const MAX_HELPERS: usize = 16;
+pub(super) const MAX_HELPERS: usize = 16;
 
 /// Targets that a request with short pauses is compared for.
 const SAMPLE: usize = 3;
@@ -128,6 +129,9 @@
         }
         let short = usable.iter().map(|candidate| candidate.load.short).sum::<u32>() + 1;
         let engine = service.engine.as_ref();
+        if let Some(engine) = engine.filter(|engine| need.prompt + need.output > engine.memory) {
+            return shared::choose(usable, engine, need).ok_or(Shortage::Full);
+        }
         let packed = engine.map_or(0, |engine| packed(short, usable.len(), engine));
         let open = usable.iter().enumerate().filter(|(_, candidate)| candidate.open);
         let mut fits: Vec<(usize, Fit)> = open
@@ -203,6 +207,7 @@
         let helpers = candidates.iter().take(parts - 1).map(|candidate| Helper {
             target: candidate.id.clone(),
             address: candidate.target.member.address,
+            holds: 0,
         });
         choice.helpers = helpers.collect();
         choice.read_ms /= parts as f64;
--- a/runtime/src/http/client.rs
+++ b/runtime/src/http/client.rs
@@ -148,6 +148,18 @@
         if !body.is_empty() {
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
+        self.call_with(method, endpoint, headers, body, limit).await
+    }
+
+    /// Sends a body with `headers` and returns the body of a successful answer.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        endpoint: &Endpoint,
+        headers: HeaderMap,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, ClientError> {
         let call = async {
             let response = self.send(method, endpoint, headers, body).await?;
             let status = response.status();
