--- /dev/null
+++ b/gateway/tests/command_line.rs
@@ -0,0 +1,27 @@
+//! The command line of the gateway.
+
+use std::process::Command;
+use testutils::cases;
+
+/// Runs the gateway with `arguments` and the settings file at `path`; expects its exit code and
+/// a line on standard error.
+fn check_failure(arguments: &[&str], path: &str, code: i32, expected: &str) {
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarhead-gateway"))
+        .args(arguments)
+        .env(fulmarhead_platform::SETTINGS_VARIABLE, path)
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    let found = text.lines().any(|line| line.contains(expected));
+    assert_eq!((output.status.code(), found), (Some(code), true), "{text}");
+}
+
+cases! {
+    check_failure {
+        /// Guards against a setting that is ignored.
+        invalid_port: (&["--ops-port=none"], "/dev/null", 2, "--ops-port"),
+        /// Guards against a start without settings, and against one that does not say why.
+        no_settings_file: (&[], "/nonexistent/boot.conf", 1, "/nonexistent/boot.conf"),
+        empty_settings_file: (&[], "/dev/null", 1, "is missing"),
+    }
+}
--- a/testutils/src/process/child.rs
+++ b/testutils/src/process/child.rs
@@ -54,6 +54,7 @@
 pub struct Process {
     program: Program,
     arguments: Vec<String>,
+    variables: Vec<(String, String)>,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
 }
@@ -61,18 +62,34 @@
 impl Process {
     /// Starts `program` with flags of the form `--flag=value`.
     pub fn start(program: Program, arguments: Vec<String>) -> Result<Self, ProcessError> {
+        Self::start_with(program, arguments, Vec::new())
+    }
+
+    /// Starts `program` with flags and environment variables.
+    pub fn start_with(
+        program: Program,
+        arguments: Vec<String>,
+        variables: Vec<(String, String)>,
+    ) -> Result<Self, ProcessError> {
         let lines = Arc::default();
-        let child = spawn(program, &arguments, &lines)?;
-        Ok(Self { program, arguments, child, lines })
+        let child = spawn(program, &arguments, &variables, &lines)?;
+        Ok(Self { program, arguments, variables, child, lines })
     }
 
     /// Kills the process if it still runs and starts the program again with the same flags.
     pub async fn restart(&mut self) -> Result<(), ProcessError> {
-        self.kill().await?;
-        self.child = spawn(self.program, &self.arguments, &self.lines)?;
+        if !self.has_ended() {
+            self.kill().await?;
+        }
+        self.child = spawn(self.program, &self.arguments, &self.variables, &self.lines)?;
         Ok(())
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal to this process.
     pub fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
         // The id is none once the process was awaited, so that no other process gets the signal.
@@ -103,12 +120,14 @@
 fn spawn(
     program: Program,
     arguments: &[String],
+    variables: &[(String, String)],
     lines: &Arc<Mutex<Vec<String>>>,
 ) -> Result<Child, ProcessError> {
     let started = |error| ProcessError::Start { program, error };
     let mut child = Command::new(program.path().map_err(started)?)
         .args(arguments)
         .env("TOKIO_WORKER_THREADS", THREADS)
+        .envs(variables.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/testutils/src/process/program.rs
+++ b/testutils/src/process/program.rs
@@ -9,6 +9,9 @@
     /// The entry.
     #[strum(serialize = "fulmarhead-entry")]
     Entry,
+    /// The entry on the users' shared platform.
+    #[strum(serialize = "fulmarhead-gateway")]
+    Gateway,
     /// The agent.
     #[strum(serialize = "fulmarhead-agent")]
     Agent,
