--- a/lib/src/placement/cost.rs
+++ b/lib/src/placement/cost.rs
@@ -32,10 +32,6 @@
 /// The rest takes those that entries send there before they hear of each other.
 const TIGHT_PART: f64 = 0.85;
 
-/// Part of the slots that requests fill which can still be on time; a full engine delays each of
-/// them a little, and so all of them too much.
-const FRESH_PART: f64 = 0.88;
-
 /// Part of the engines that is kept for long prompts while the others have room.
 const KEPT_PART: f64 = 0.15;
 
@@ -106,8 +102,7 @@
 
     fn short_fit(&self, load: &TargetLoad, engine: &EngineModel, packed: bool) -> Fit {
         let reading = f64::from(load.read_ms);
-        let part = if self.overdue { 1.0 } else { FRESH_PART };
-        let free = f64::from(load.requests + 1) <= part * f64::from(engine.slots);
+        let free = load.requests < engine.slots;
         let first = pass_ms(load, engine) + reading + engine.read_ms(self.prompt);
         if free && packed && reading <= USED_PART * millis(self.gap) {
             return Fit { class: 0, cost: f64::from(load.requests) + reading / engine.pass_ms() };
