--- a/lib/src/placement/member.rs
+++ b/lib/src/placement/member.rs
@@ -1,10 +1,7 @@
 //! What the platform's list says of a target.
 
 use crate::ids::{ServiceId, TargetId, ZoneId};
-use std::{
-    net::SocketAddr,
-    time::{Duration, SystemTime},
-};
+use std::{net::SocketAddr, time::SystemTime};
 use strum::{Display, IntoStaticStr};
 
 /// Whether a target takes new work.
@@ -30,8 +27,6 @@
     pub zone: ZoneId,
     /// Whether it takes new work.
     pub state: MemberState,
-    /// Time that it stays cold, as of the writing of the entry.
-    pub cold: Duration,
     /// Start of this life, if the list says it.
     pub born: Option<SystemTime>,
 }
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -62,7 +62,7 @@
         entries: usize,
         now: Instant,
     ) -> bool {
-        let rate = service.warm_up.rate;
+        let rate = service.cold_rate;
         rate <= 0.0 || self.starts.allows(bound.share(rate, entries), now)
     }
 }
--- a/lib/src/routes/mod.rs
+++ b/lib/src/routes/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     route::{Repeat, Route},
-    service::{EngineModel, Service, WarmUp},
+    service::{EngineModel, Service},
     table::{CallerLimits, Denial, RouteTable, RouteTableBuilder, Selected},
 };
--- a/lib/src/routes/service.rs
+++ b/lib/src/routes/service.rs
@@ -1,26 +1,14 @@
 //! Services and the published figures of their model engines.
 
 use crate::ids::{ServiceId, Tokens};
-use std::time::Duration;
-
-/// How much load a target takes after its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct WarmUp {
-    /// Time that a target stays cold after its start.
-    pub period: Duration,
-    /// Requests a second that a cold target takes; 0 if the service has no cold targets.
-    pub rate: f64,
-}
 
 /// A service: targets that answer the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub id: ServiceId,
-    /// Connections that one target accepts from all callers together.
-    pub connections: u32,
-    /// Load that cold targets take.
-    pub warm_up: WarmUp,
+    /// Requests a second that a cold target takes; 0 if the service has no cold targets.
+    pub cold_rate: f64,
     /// Figures of the model engine; none for an application.
     pub engine: Option<EngineModel>,
 }
@@ -42,14 +30,8 @@
     pub read_rate: f64,
     /// Time for a million pairs of a prompt token and an earlier one, in ms.
     pub pairs_ms: f64,
-    /// Most prompt tokens that are read in one step.
-    pub chunk: Tokens,
     /// Steps of a pass in which a request is generating.
     pub stride: u32,
-    /// Time that a step of a request over several engines takes longer, in ms.
-    pub hop_ms: f64,
-    /// Mean output of a request, in tokens.
-    pub usual_output: Tokens,
 }
 
 impl EngineModel {
--- a/lib/tests/placement/fixture.rs
+++ b/lib/tests/placement/fixture.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     limits::StartBound,
     placement::{Choice, Member, MemberState, Need, Pool, Shortage, TargetLoad, Waive, Work},
-    routes::{EngineModel, Service, WarmUp},
+    routes::{EngineModel, Service},
 };
 use std::{
     collections::BTreeMap,
@@ -30,16 +30,12 @@
         context_ms: 0.002_85,
         read_rate: 177.0,
         pairs_ms: 0.184,
-        chunk: 2_048,
         stride: 51,
-        hop_ms: 0.05,
-        usual_output: 1_600,
     }
 }
 
 pub(crate) fn service(rate: f64) -> Service {
-    let warm_up = WarmUp { period: Duration::from_secs(3), rate };
-    Service { id: "pool".into(), connections: 400, warm_up, engine: Some(engine()) }
+    Service { id: "pool".into(), cold_rate: rate, engine: Some(engine()) }
 }
 
 pub(crate) fn member(number: u8) -> Member {
@@ -49,7 +45,6 @@
         address: ([10, 0, 0, number], 80).into(),
         zone: format!("z{}", number % 3),
         state: MemberState::Ready,
-        cold: Duration::ZERO,
         born: None,
     }
 }
