local/tests: count new work at a target without waiting until it is idle

Cause: zone_out_and_back asked whether a target that is back in service gets new work with wait_admitted, which waits until the target's log shows no attempt in flight. Under the load of the test itself such a moment is rare on a slow machine, so that the wait of 10 s expired though the target had new work all the time.

The count of admitted attempts only rises, and the count before was taken while the target was idle and out of service, so the check is as strict as before. Bound and callers are unchanged.

--- a/local/tests/processes/support.rs
+++ b/local/tests/processes/support.rs
@@ -58,15 +58,25 @@
     event.id.split('.').nth(2).unwrap()
 }
 
+/// Returns the number of attempts that the log of the agent of `target` has recorded as admitted
+/// so far.
+pub(crate) fn admitted_count(fleet: &mut Fleet, target: &str) -> usize {
+    count_lines(&fleet.agent(target).lines(), "attempt admitted")
+}
+
 /// Waits until `target` is idle and returns the number of attempts that its agent has admitted.
 ///
-/// The log is read in order, so the count is complete once as many attempts have ended.
+/// The log is read in order, so the count is complete once as many attempts have ended. A target
+/// under load is rarely idle; [`admitted_count`] needs no such moment.
 pub(crate) async fn wait_admitted(fleet: &mut Fleet, target: &str) -> usize {
     let idle_count = async || {
         let lines = fleet.agent(target).lines();
-        let count = |text: &str| lines.iter().filter(|line| line.contains(text)).count();
-        let admitted = count("attempt admitted");
-        (admitted == count("attempt ended")).then_some(admitted)
+        let admitted = count_lines(&lines, "attempt admitted");
+        (admitted == count_lines(&lines, "attempt ended")).then_some(admitted)
     };
     eventually("the target is idle", CONDITION_TIMEOUT, idle_count).await.unwrap()
 }
+
+fn count_lines(lines: &[String], text: &str) -> usize {
+    lines.iter().filter(|line| line.contains(text)).count()
+}
--- a/local/tests/processes/zones.rs
+++ b/local/tests/processes/zones.rs
@@ -3,8 +3,8 @@
 use crate::{
     load::BackgroundLoad,
     support::{
-        CONDITION_TIMEOUT, ORDERS_PATH, event_contents, event_target, expected_events, key_owner,
-        prompt, start_fleet, wait_admitted,
+        CONDITION_TIMEOUT, ORDERS_PATH, admitted_count, event_contents, event_target,
+        expected_events, key_owner, prompt, start_fleet, wait_admitted,
     },
 };
 use fulmarhead_lib::config;
@@ -106,7 +106,7 @@
         fleet.publish(change_service(scope, false)).await.unwrap();
         fleet.wait_serving().await.unwrap();
         let new_work = eventually("the target gets new work", CONDITION_TIMEOUT, async || {
-            (wait_admitted(&mut fleet, "engine-2").await > before).then_some(())
+            (admitted_count(&mut fleet, "engine-2") > before).then_some(())
         });
         new_work.await.unwrap();
         load.finish().await.check();
