gateway, lib: exchange state through a relay in each zone

Cause: each entry called every other one each 150 ms.

Ruled out on paper (docs/design/platform.md): gossip, which carries the loads of single entries over zones as sums can't be merged twice; subsets of targets, which split the idle capacity.

Change: the entries of a zone rank each other by processor share and a hash of the address and call the first one that answers. It adds their loads up, calls the relays of the other zones with the sum, and returns to each member the loads of all others. No election: who ranks first and does not answer is passed over and called again later. The two first relays watch the store, others poll it when their copy is old, relays before members.

--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -3,11 +3,18 @@
 use crate::gateway::Gateway;
 use fulmarhead_runtime::ops::StateDump;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 
 impl StateDump for Gateway {
     fn dump(&self) -> Value {
         let now = self.clock.uptime();
         let entry_count = self.entry_count();
+        let links: BTreeMap<String, &'static str> = self
+            .peer_links()
+            .into_iter()
+            .map(|(address, link)| (address.to_string(), link.into()))
+            .collect();
+        let is_relay = self.roster().is_relay();
         let state = self.state();
         let pool = state.pool.summary();
         json!({
@@ -20,8 +27,10 @@
             "list_revision": state.target_list.revision(),
             "targets": pool.targets,
             "zones_out": pool.excluded_zones,
-            "reporting_peers": pool.peers,
+            "reporting_peers": pool.reports,
             "entries": entry_count,
+            "relay": is_relay,
+            "peers": links,
         })
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -2,15 +2,16 @@
 
 use crate::{
     leases::{LeaseReceiver, LeaseSender},
-    peers::{Fetch, Roster},
-    store::StorePart,
+    peers::Fetch,
+    store::{StorePart, is_stale},
 };
 use fulmarhead_lib::{
     clock::SharedClock,
     forward::Failure,
     ids::ServiceId,
     limits::SharedRetryBudget,
-    placement::Pool,
+    membership::{EntryInfo, Link, Roster},
+    placement::{ConnectionId, Pool},
     replica::Replica,
     routes::{CallerLimits, Denial, RouteMatch, RouteTable, Service},
 };
@@ -18,7 +19,11 @@
 use std::{
     collections::BTreeMap,
     future::pending,
-    sync::{Arc, Mutex, MutexGuard},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tokio::sync::watch;
@@ -51,7 +56,8 @@
     pub(crate) store: StoreClient,
     pub(crate) orders: OrderClient,
     pub(crate) lease_sender: LeaseSender,
-    pub(crate) roster: Roster,
+    roster: Mutex<Roster>,
+    last_connection: AtomicU64,
     /// Version of the active configuration; 0 before the first.
     pub(crate) config_version: watch::Sender<u64>,
     /// Counts the updates that must be sent to the other entries immediately.
@@ -91,11 +97,14 @@
             retry_budgets: BTreeMap::new(),
             stopping: false,
         };
+        let info = EntryInfo { zone: settings.zone.clone(), cpu_millis: settings.cpu_millis };
+        let roster = Roster::new(settings.control_address, info, &settings.seeds, clock.now());
         let gateway = Self {
             orders: OrderClient::default(),
             lease_sender,
             store: StoreClient::new(settings.store_address),
-            roster: Roster::new(settings.control_address, &settings.seeds),
+            roster: Mutex::new(roster),
+            last_connection: AtomicU64::new(0),
             settings,
             clock,
             config_version: watch::Sender::new(0),
@@ -110,10 +119,27 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the roster. The guard must not be held across an `await`, or while the state is
+    /// locked.
+    pub(crate) fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns a number for a new connection to or from another entry.
+    pub(crate) fn next_connection(&self) -> ConnectionId {
+        self.last_connection.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns the entries with which this one exchanges state now.
+    pub(crate) fn peer_links(&self) -> BTreeMap<SocketAddr, Link> {
+        let stale = is_stale(&mut self.state(), self.clock.uptime());
+        self.roster().links(stale, self.clock.now())
+    }
+
     /// Returns the number of known entries, running or not, among which shared limits are divided;
     /// at least 1.
     pub(crate) fn entry_count(&self) -> usize {
-        self.roster.entry_count()
+        self.roster().entry_count()
     }
 
     /// Returns the limits for callers under the active configuration, or the defaults without one.
--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -7,7 +7,8 @@
 };
 use fulmarhead_lib::{
     ids::{Revision, TargetId},
-    placement::{LoadDelta, TargetLoad},
+    membership::{EntryInfo, Link},
+    placement::{ConnectionId, LoadDelta, ReportSource, TargetLoad},
     replica::Delta,
 };
 use log::info;
@@ -24,10 +25,14 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// State of the exchanges on one connection to a peer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PeerSession {
+    link: Link,
+    connection: ConnectionId,
     /// Loads that were sent to the peer; `None` before the first exchange.
     sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
+    /// Digest of the entries that the peer knew at its last response.
+    peer_roster: Option<u64>,
     /// Parts to request from the peer, with the revisions of the local replicas.
     wanted_parts: BTreeMap<StorePart, Revision>,
     /// Parts that the peer has requested, with the revisions of its replicas; the next request
@@ -36,6 +41,18 @@
 }
 
 impl PeerSession {
+    /// Returns the state of a new connection to a peer that is called for `link`.
+    pub(super) fn new(link: Link, connection: ConnectionId) -> Self {
+        Self {
+            link,
+            connection,
+            sent_loads: None,
+            peer_roster: None,
+            wanted_parts: BTreeMap::new(),
+            parts_to_send: BTreeMap::new(),
+        }
+    }
+
     /// Returns whether parts remain to be transferred, so that the next exchange should follow
     /// immediately.
     pub(super) fn has_pending_parts(&self) -> bool {
@@ -43,24 +60,50 @@
     }
 }
 
+/// State of one connection from a peer.
+#[derive(Debug)]
+pub(super) struct CallerSession {
+    connection: ConnectionId,
+    /// Source of the loads that arrive on the connection.
+    source: Option<ReportSource>,
+    /// Loads that were sent to the peer; `None` before the first response that carries any.
+    sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
+}
+
+impl CallerSession {
+    /// Returns the state of a new connection.
+    pub(super) fn new(connection: ConnectionId) -> Self {
+        Self { connection, source: None, sent_loads: None }
+    }
+}
+
 impl Gateway {
     /// Returns the next request to the peer of `session`, and records in the session what it
-    /// contains.
-    pub(super) fn exchange_request(&self, session: &mut PeerSession) -> ExchangeRequest {
+    /// contains. `urgent` says that other zones must learn of a change immediately.
+    pub(super) fn exchange_request(
+        &self,
+        session: &mut PeerSession,
+        urgent: bool,
+    ) -> ExchangeRequest {
         let now = self.clock.now();
         let mut state = self.state();
-        let loads = state.pool.own_loads(now);
-        let load_delta = LoadDelta::between(session.sent_loads.as_ref(), &loads);
-        load_delta.apply(session.sent_loads.get_or_insert_default());
+        let loads = matches!(session.link, Link::Relay | Link::Zone)
+            .then(|| load_changes(&mut session.sent_loads, &state.pool.member_loads(now)));
         let revisions = StorePart::iter().map(|part| (part, part.replica(&mut state).revision()));
         let revisions = revisions.collect();
         let deltas = build_deltas(&mut state, take(&mut session.parts_to_send));
         drop(state);
+        let roster = self.roster();
+        let peer_differs = session.peer_roster.is_some_and(|digest| digest != roster.digest());
         ExchangeRequest {
             entry: self.settings.vm_name.clone(),
             address: self.settings.control_address,
-            roster: self.roster.digest(),
-            loads: load_delta,
+            info: roster.own_info().clone(),
+            link: session.link,
+            roster: roster.digest(),
+            entries: if peer_differs { roster.known_entries() } else { BTreeMap::new() },
+            loads,
+            urgent,
             revisions,
             wanted: take(&mut session.wanted_parts),
             deltas,
@@ -71,19 +114,61 @@
     ///
     /// A request carries no ages of the peer's replicas, because its transit time is not known.
     /// Only responses confirm replicas.
-    pub(super) fn handle_exchange(&self, request: ExchangeRequest) -> ExchangeResponse {
-        self.add_addresses(&[request.address]);
-        self.state().pool.update_peer(request.entry, &request.loads, self.clock.now());
+    pub(super) fn handle_exchange(
+        &self,
+        request: ExchangeRequest,
+        session: &mut CallerSession,
+    ) -> ExchangeResponse {
+        let same_zone = request.info.zone == self.settings.zone;
+        self.add_entries(BTreeMap::from([(request.address, request.info)]));
+        self.add_entries(request.entries);
+        session.source = match request.link {
+            Link::Relay => Some(ReportSource::Member(request.entry)),
+            Link::Zone => Some(ReportSource::Zone(request.entry)),
+            Link::Backup | Link::Discovery => None,
+        };
+        let loads = self.exchange_loads(request.loads, session);
+        if request.urgent && request.link == Link::Relay {
+            self.notify_peers();
+        }
         self.merge_deltas(request.deltas);
-        let same_zone = self.roster.zone(request.address).as_ref() == Some(&self.settings.zone);
         let wanted = self.parts_to_request(&request.revisions, same_zone);
-        let same_roster = request.roster == self.roster.digest();
+        let deltas = build_deltas(&mut self.state(), request.wanted);
+        let replicas = self.replica_statuses();
+        let roster = self.roster();
+        let same_roster = request.roster == roster.digest();
         ExchangeResponse {
-            zone: self.settings.zone.clone(),
-            entries: if same_roster { Vec::new() } else { self.roster.addresses() },
-            replicas: self.replica_statuses(),
+            info: roster.own_info().clone(),
+            roster: roster.digest(),
+            entries: if same_roster { BTreeMap::new() } else { roster.known_entries() },
+            loads,
+            replicas,
             wanted,
-            deltas: build_deltas(&mut self.state(), request.wanted),
+            deltas,
+        }
+    }
+
+    /// Records the loads that arrived on the connection of `session`, and returns the changes of
+    /// those of all other entries if the peer is a member.
+    fn exchange_loads(
+        &self,
+        received: Option<LoadDelta>,
+        session: &mut CallerSession,
+    ) -> Option<LoadDelta> {
+        let (now, source) = (self.clock.now(), session.source.clone()?);
+        let mut state = self.state();
+        if let Some(delta) = received {
+            state.pool.update_report(source.clone(), session.connection, &delta, now);
+        }
+        let is_member = matches!(source, ReportSource::Member(_));
+        is_member
+            .then(|| load_changes(&mut session.sent_loads, &state.pool.loads_without(&source, now)))
+    }
+
+    /// Forgets the loads that arrived on a connection which has closed.
+    pub(super) fn end_session(&self, session: &CallerSession) {
+        if let Some(source) = &session.source {
+            self.state().pool.remove_report(source, session.connection);
         }
     }
 
@@ -91,12 +176,21 @@
     pub(super) fn apply_response(
         &self,
         response: ExchangeResponse,
+        address: SocketAddr,
         requested_at: Duration,
         session: &mut PeerSession,
     ) {
-        self.add_addresses(&response.entries);
+        let now = self.clock.now();
+        let same_zone = response.info.zone == self.settings.zone;
+        self.add_entries(BTreeMap::from([(address, response.info)]));
+        self.add_entries(response.entries);
+        self.roster().record_response(address, now);
+        session.peer_roster = Some(response.roster);
         self.merge_deltas(response.deltas);
         let mut state = self.state();
+        if let Some(delta) = &response.loads {
+            state.pool.update_report(ReportSource::Relay, session.connection, delta, now);
+        }
         for (part, status) in &response.replicas {
             let replica = part.replica(&mut state);
             // A replica that is at least as recent as the peer's contains everything that was
@@ -108,24 +202,22 @@
         drop(state);
         let revisions =
             response.replicas.iter().map(|(&part, status)| (part, status.revision)).collect();
-        session.wanted_parts =
-            self.parts_to_request(&revisions, response.zone == self.settings.zone);
+        session.wanted_parts = self.parts_to_request(&revisions, same_zone);
         session.parts_to_send = response.wanted;
     }
 
     /// Returns the parts to request from a peer with `revisions`, with the revisions of the local
     /// replicas.
     ///
-    /// The first-ranked entry of a zone requests newer parts from any peer. The other entries
-    /// request them only from peers in their zone, until the newer revision has been known for
-    /// `FETCH_TIMEOUT`.
+    /// The relay of a zone requests newer parts from any peer. The other entries request them only
+    /// from peers in their zone, until the newer revision has been known for `FETCH_TIMEOUT`.
     fn parts_to_request(
         &self,
         revisions: &BTreeMap<StorePart, Revision>,
         same_zone: bool,
     ) -> BTreeMap<StorePart, Revision> {
         let now = self.clock.now();
-        let ranks_first = self.roster.rank_in_zone(&self.settings.zone, now) == 0;
+        let is_relay = self.roster().is_relay();
         let mut state = self.state();
         let wanted = revisions.iter().filter_map(|(&part, &revision)| {
             let own_revision = part.replica(&mut state).revision();
@@ -133,7 +225,7 @@
                 return None;
             }
             let fetch = state.fetches.entry(part).or_default();
-            let begins = fetch.try_begin(same_zone || ranks_first, now);
+            let begins = fetch.try_begin(same_zone || is_relay, now);
             begins.then_some((part, own_revision))
         });
         wanted.collect()
@@ -152,9 +244,9 @@
         statuses.collect()
     }
 
-    fn add_addresses(&self, addresses: &[SocketAddr]) {
-        for address in self.roster.add(addresses) {
-            info!(target: "decision", address:%; "discovered an entry; starting exchanges with it");
+    fn add_entries(&self, entries: BTreeMap<SocketAddr, EntryInfo>) {
+        for address in self.roster().merge(entries) {
+            info!(target: "decision", address:%; "discovered an entry");
         }
     }
 
@@ -170,8 +262,8 @@
             if merged {
                 info!(target: "decision", part:%, before, after; "took changes from a peer");
                 self.activate(part);
-                // The other entries of the zone request the changes from the first-ranked one.
-                if self.roster.rank_in_zone(&self.settings.zone, self.clock.now()) == 0 {
+                // The other zones request the changes from the relay of this one.
+                if self.roster().is_relay() {
                     self.notify_peers();
                 }
             }
@@ -204,6 +296,17 @@
     }
 }
 
+/// Returns the changes that turn the loads that the peer has into `loads`, and records that they
+/// are sent.
+fn load_changes(
+    sent_loads: &mut Option<BTreeMap<TargetId, TargetLoad>>,
+    loads: &BTreeMap<TargetId, TargetLoad>,
+) -> LoadDelta {
+    let delta = LoadDelta::between(sent_loads.as_ref(), loads);
+    delta.apply(sent_loads.get_or_insert_default());
+    delta
+}
+
 /// Returns the changes of the `wanted` parts since the given revisions, without parts that have
 /// none.
 fn build_deltas(
--- a/gateway/src/peers/mod.rs
+++ b/gateway/src/peers/mod.rs
@@ -3,10 +3,7 @@
 
 mod exchange;
 mod protocol;
-mod roster;
 mod server;
 mod task;
 
-pub(crate) use self::{
-    exchange::Fetch, roster::Roster, server::PeerServer, task::exchange_with_peers,
-};
+pub(crate) use self::{exchange::Fetch, server::PeerServer, task::exchange_with_peers};
--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -3,7 +3,8 @@
 
 use crate::store::StorePart;
 use fulmarhead_lib::{
-    ids::{EntryId, Revision, ZoneId},
+    ids::{EntryId, Revision},
+    membership::{EntryInfo, Link},
     placement::LoadDelta,
     replica::Delta,
 };
@@ -17,10 +18,20 @@
     pub(crate) entry: EntryId,
     /// Control address of the requesting entry.
     pub(crate) address: SocketAddr,
-    /// Digest of the addresses that the requesting entry knows.
+    /// Properties of the requesting entry.
+    pub(crate) info: EntryInfo,
+    /// Purpose of the connection.
+    pub(crate) link: Link,
+    /// Digest of the entries that the requesting entry knows.
     pub(crate) roster: u64,
-    /// The requesting entry's work in flight, as changes since the last exchange on the connection.
-    pub(crate) loads: LoadDelta,
+    /// Entries that the requesting entry knows; empty if the responding entry knew the same ones at
+    /// its last response, or has not responded yet.
+    pub(crate) entries: BTreeMap<SocketAddr, EntryInfo>,
+    /// Work in flight of the requesting entry and of its members, as changes since the last
+    /// exchange on the connection; `None` if the link carries no loads.
+    pub(crate) loads: Option<LoadDelta>,
+    /// Whether the loads contain a change that other zones must learn of immediately.
+    pub(crate) urgent: bool,
     /// Revisions of the requesting entry's replicas.
     pub(crate) revisions: BTreeMap<StorePart, Revision>,
     /// Parts that the requesting entry requests, with the revisions of its replicas.
@@ -43,11 +54,15 @@
 /// Response of an exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ExchangeResponse {
-    /// Zone of the responding entry.
-    pub(crate) zone: ZoneId,
-    /// Control addresses of all entries that the responding entry knows; empty if the requesting
-    /// entry knows the same ones.
-    pub(crate) entries: Vec<SocketAddr>,
+    /// Properties of the responding entry.
+    pub(crate) info: EntryInfo,
+    /// Digest of the entries that the responding entry knows.
+    pub(crate) roster: u64,
+    /// Entries that the responding entry knows; empty if the requesting entry knows the same ones.
+    pub(crate) entries: BTreeMap<SocketAddr, EntryInfo>,
+    /// To a member: the work in flight of all entries but the member and those that report to it,
+    /// as changes since the last exchange on the connection.
+    pub(crate) loads: Option<LoadDelta>,
     /// State of the responding entry's replicas.
     #[serde(rename = "stamps")]
     pub(crate) replicas: BTreeMap<StorePart, ReplicaStatus>,
@@ -60,7 +75,7 @@
 /// Remote calls that each entry serves.
 #[tarpc::service]
 pub(crate) trait Peering {
-    /// Sends the requesting entry's work in flight to the responding entry, and transfers parts of
-    /// the store of which one side has a newer revision.
+    /// Sends the work in flight that the requesting entry knows to the responding entry, and
+    /// transfers parts of the store of which one side has a newer revision.
     async fn exchange(request: ExchangeRequest) -> ExchangeResponse;
 }
--- a/gateway/src/peers/server.rs
+++ b/gateway/src/peers/server.rs
@@ -1,13 +1,16 @@
 //! Server for the calls of other entries.
 
-use super::protocol::{ExchangeRequest, ExchangeResponse, Peering};
+use super::{
+    exchange::CallerSession,
+    protocol::{ExchangeRequest, ExchangeResponse, Peering},
+};
 use crate::gateway::Gateway;
 use fulmarhead_runtime::{
     control::control_transport,
     supervisor::{Connections, TaskResult},
 };
 use futures::StreamExt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
@@ -19,12 +22,17 @@
 /// system is designed.
 const MAX_CONNECTIONS: usize = 500;
 
+/// Handler of the calls on one connection.
 #[derive(Clone)]
-struct PeeringHandler(Arc<Gateway>);
+struct PeeringHandler {
+    gateway: Arc<Gateway>,
+    session: Arc<Mutex<CallerSession>>,
+}
 
 impl Peering for PeeringHandler {
     async fn exchange(self, _: Context, request: ExchangeRequest) -> ExchangeResponse {
-        self.0.handle_exchange(request)
+        let mut session = self.session.lock().expect("no holder of the lock panics");
+        self.gateway.handle_exchange(request, &mut session)
     }
 }
 
@@ -44,19 +52,22 @@
     /// Accepts connections until `stop` is cancelled, then waits for their tasks to end.
     pub(crate) async fn run(self, gateway: Arc<Gateway>, stop: CancellationToken) -> TaskResult {
         while let Some((permit, stream)) = self.connections.accept(&self.listener, &stop).await {
-            let handler = PeeringHandler(Arc::clone(&gateway));
-            self.connections.spawn(permit, |stop| serve_connection(handler, stream, stop));
+            let gateway = Arc::clone(&gateway);
+            self.connections.spawn(permit, |stop| serve_connection(gateway, stream, stop));
         }
         self.connections.finish().await;
         Ok(())
     }
 }
 
-async fn serve_connection(handler: PeeringHandler, stream: TcpStream, stop: CancellationToken) {
+async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, stop: CancellationToken) {
     let Ok(transport) = control_transport(stream) else { return };
+    let session = Arc::new(Mutex::new(CallerSession::new(gateway.next_connection())));
+    let handler = PeeringHandler { gateway: Arc::clone(&gateway), session: Arc::clone(&session) };
     let calls = BaseChannel::with_defaults(transport).execute(handler.serve());
     tokio::select! {
         () = stop.cancelled() => {}
         () = calls.for_each(|call| call) => {}
     }
+    gateway.end_session(&session.lock().expect("no holder of the lock panics"));
 }
--- a/gateway/src/peers/task.rs
+++ b/gateway/src/peers/task.rs
@@ -1,24 +1,30 @@
-//! Runs one task for each other entry, which exchanges state with it repeatedly.
+//! Runs one task for each peer that this entry calls, which exchanges state with it repeatedly.
 
 use super::{exchange::PeerSession, protocol::PeeringClient};
 use crate::gateway::Gateway;
+use fulmarhead_lib::membership::Link;
 use fulmarhead_runtime::{control::control_transport, supervisor::TaskResult};
 use log::info;
-use std::{collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
+};
 use tarpc::{
     client::{Config, RpcError},
     context,
 };
 use tokio::{
     net::TcpStream,
-    task::JoinSet,
+    task::{AbortHandle, JoinSet},
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
-/// Interval between exchanges with a peer. Loads change with each request, but the processor time
-/// of more frequent exchanges outweighs the benefit of more recent loads.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between exchanges with the relay of the zone. Loads change with each request, but the
+/// processor time of more frequent exchanges outweighs the benefit of more recent loads.
+const MEMBER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval between exchanges with the relay of another zone, whose targets are used less.
+const ZONE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Minimum time between exchanges with a peer, about one round trip between zones.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(4);
@@ -27,9 +33,8 @@
 /// transfer of a complete configuration takes longer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Delay before the next attempt after a failure, about the time that a process takes to restart.
-/// Also the interval at which the roster is checked for new addresses.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Interval at which the peers to call are selected again, unless a call fails before.
+const SELECTION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The reason why an exchange failed.
 #[derive(Debug, thiserror::Error)]
@@ -42,69 +47,85 @@
     Call(#[from] RpcError),
 }
 
-/// Runs one task for each other entry until `stop` is cancelled.
+/// Runs one task for each peer that the roster selects, until `stop` is cancelled.
 pub(crate) async fn exchange_with_peers(
     gateway: Arc<Gateway>,
     stop: CancellationToken,
 ) -> TaskResult {
     let mut tasks = JoinSet::new();
-    let mut running: BTreeSet<SocketAddr> = BTreeSet::new();
+    let mut running: BTreeMap<(SocketAddr, Link), AbortHandle> = BTreeMap::new();
     loop {
-        for address in gateway.roster.peer_addresses() {
-            if running.insert(address) {
-                tasks.spawn(exchange_with_peer(Arc::clone(&gateway), address));
+        let links = gateway.peer_links();
+        running.retain(|(address, link), task| {
+            let is_selected = links.get(address) == Some(link);
+            if !is_selected {
+                task.abort();
             }
+            is_selected && !task.is_finished()
+        });
+        for (address, link) in links {
+            running.entry((address, link)).or_insert_with(|| {
+                tasks.spawn(exchange_with_peer(Arc::clone(&gateway), address, link))
+            });
         }
         tokio::select! {
             () = stop.cancelled() => return Ok(()),
-            () = sleep(RETRY_DELAY) => {}
+            Some(_) = tasks.join_next() => {}
+            () = sleep(SELECTION_INTERVAL) => {}
         }
     }
 }
 
-async fn exchange_with_peer(gateway: Arc<Gateway>, address: SocketAddr) {
-    let mut disconnected = true;
-    loop {
-        let error = match exchange(&gateway, address, &mut disconnected).await {
-            Ok(never) => match never {},
-            Err(error) => error,
-        };
-        if !disconnected {
-            info!(target: "decision", address:%, error:%; "lost a peer");
-            disconnected = true;
-        }
-        sleep(RETRY_DELAY).await;
+async fn exchange_with_peer(gateway: Arc<Gateway>, address: SocketAddr, link: Link) {
+    let mut connected = false;
+    let error = match exchange(&gateway, address, link, &mut connected).await {
+        Ok(never) => match never {},
+        Err(error) => error,
+    };
+    gateway.roster().record_failure(address, gateway.clock.now());
+    if connected {
+        info!(target: "decision", address:%, link:%, error:%; "lost a peer");
     }
 }
 
-/// Exchanges with one peer until a call fails. Clears `disconnected` after the first successful
+/// Exchanges with one peer until a call fails. Sets `connected` after the first successful
 /// exchange.
 async fn exchange(
     gateway: &Gateway,
     address: SocketAddr,
-    disconnected: &mut bool,
-) -> Result<std::convert::Infallible, ExchangeError> {
+    link: Link,
+    connected: &mut bool,
+) -> Result<Infallible, ExchangeError> {
     let connect = timeout(CALL_TIMEOUT, TcpStream::connect(address));
     let stream = connect.await.map_err(|_| ExchangeError::Timeout)??;
     let client = PeeringClient::new(Config::default(), control_transport(stream)?).spawn();
     let mut peer_updates = gateway.peer_updates.subscribe();
-    let mut session = PeerSession::default();
+    let mut session = PeerSession::new(link, gateway.next_connection());
+    let mut urgent = false;
     loop {
         let requested_at = gateway.clock.uptime();
         peer_updates.mark_unchanged();
         let mut context = context::current();
         context.deadline = gateway.clock.now() + CALL_TIMEOUT;
-        let response = client.exchange(context, gateway.exchange_request(&mut session)).await?;
-        gateway.roster.record_response(address, response.zone.clone(), gateway.clock.now());
-        gateway.apply_response(response, requested_at, &mut session);
-        if *disconnected {
-            info!(target: "decision", address:%; "reached a peer");
-            *disconnected = false;
+        let request = gateway.exchange_request(&mut session, urgent);
+        let response = client.exchange(context, request).await?;
+        gateway.apply_response(response, address, requested_at, &mut session);
+        if !*connected {
+            info!(target: "decision", address:%, link:%; "reached a peer");
+            *connected = true;
         }
+        urgent = false;
         if !session.has_pending_parts() {
             // The channel closes only when the gateway stops.
-            let _ = timeout(EXCHANGE_INTERVAL, peer_updates.changed()).await;
+            urgent = timeout(interval(link), peer_updates.changed()).await.is_ok();
         }
         sleep(MIN_EXCHANGE_INTERVAL).await;
     }
 }
+
+fn interval(link: Link) -> Duration {
+    match link {
+        Link::Relay => MEMBER_INTERVAL,
+        Link::Zone | Link::Backup | Link::Discovery => ZONE_INTERVAL,
+    }
+}
--- a/gateway/src/store/mod.rs
+++ b/gateway/src/store/mod.rs
@@ -3,4 +3,4 @@
 mod adopt;
 mod watcher;
 
-pub(crate) use self::watcher::{StorePart, watch_store};
+pub(crate) use self::watcher::{StorePart, is_stale, watch_store};
--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -7,13 +7,13 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
-use strum::{Display, EnumIter, IntoStaticStr};
+use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Number of entries that watch the store all the time. One would suffice; with a second one, the
+/// Number of relays that watch the store all the time. One would suffice; with a second one, the
 /// failure of either does not affect the other entries.
-const WATCHING_ENTRIES: usize = 2;
+const WATCHING_RELAYS: usize = 2;
 
 /// Wait time of a watch. A response confirms, also for the other entries, that the replica was up
 /// to date when the request was sent, up to one wait time ago. The next response can take another
@@ -23,17 +23,17 @@
 /// Wait time of a call that only confirms the replica, the shortest that the store accepts.
 const POLL_WAIT: Duration = Duration::from_millis(1);
 
-/// Age of a replica at which an entry that does not watch polls the store: two watches and one
-/// exchange between entries. Together with the duration of the poll it is less than the two seconds
+/// Age of a replica at which an entry that does not watch polls the store: two watches and two
+/// exchanges between entries. Together with the duration of the poll it is less than the two seconds
 /// within which a change must become active.
 const POLL_AGE: Duration = Duration::from_millis(1_400);
 
-/// Additional delay of an entry's poll for each entry that ranks before it, so that the response to
+/// Additional delay of a relay's poll for each relay that ranks before it, so that the response to
 /// the first poll can make the others unnecessary.
 const POLL_STAGGER: Duration = Duration::from_millis(20);
 
-/// Maximum delay of a poll by `POLL_STAGGER`, which bounds the age of a replica for any number of
-/// entries.
+/// Maximum delay of a relay's poll by `POLL_STAGGER`, and the delay of the polls of entries that
+/// are no relay, so that a poll of their relay makes theirs unnecessary.
 const MAX_POLL_STAGGER: Duration = Duration::from_millis(300);
 
 /// Interval at which the age of the replica is checked, shorter than the interval between
@@ -148,9 +148,15 @@
     }
 }
 
+/// Returns whether a replica is so old that its entry polls the store.
+pub(crate) fn is_stale(state: &mut GatewayState, uptime: Duration) -> bool {
+    StorePart::iter().any(|part| !part.replica(state).freshness().is_within(POLL_AGE, uptime))
+}
+
 /// Returns whether this entry watches the store on behalf of the others.
 fn is_watcher(gateway: &Gateway) -> bool {
-    gateway.roster.rank(gateway.clock.now()) < WATCHING_ENTRIES
+    let rank = gateway.roster().relay_rank(gateway.clock.now());
+    rank.is_some_and(|rank| rank < WATCHING_RELAYS)
 }
 
 /// Replaces the replica with a snapshot of the part.
@@ -171,11 +177,12 @@
 /// entries.
 async fn update_replica(gateway: &Gateway, part: StorePart) -> Result<(), StoreError> {
     loop {
-        let rank = gateway.roster.rank(gateway.clock.now());
-        if rank < WATCHING_ENTRIES {
+        let rank = gateway.roster().relay_rank(gateway.clock.now());
+        if rank.is_some_and(|rank| rank < WATCHING_RELAYS) {
             return fetch_changes(gateway, part, WATCH_WAIT).await;
         }
-        let stagger = (POLL_STAGGER * rank as u32).min(MAX_POLL_STAGGER);
+        let stagger = rank.map_or(MAX_POLL_STAGGER, |rank| POLL_STAGGER * rank as u32);
+        let stagger = stagger.min(MAX_POLL_STAGGER);
         let freshness = part.replica(&mut gateway.state()).freshness();
         match freshness.age(gateway.clock.uptime()) {
             Some(age) if age < POLL_AGE + stagger => {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod keys;
 pub mod lease;
 pub mod limits;
+pub mod membership;
 pub mod outcome;
 pub mod placement;
 pub mod release;
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod member;
 mod oversized;
 mod pool;
+mod reports;
 mod target;
 
 pub use self::{
@@ -17,4 +18,5 @@
     load::{LoadDelta, Stage, TargetLoad, Work, WorkId},
     member::{Member, MemberState},
     pool::{Pool, PoolSummary},
+    reports::{ConnectionId, ReportSource},
 };
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,14 +1,15 @@
 //! State of the targets of all services, and selection of a target for a request.
 
 use super::{
-    AttemptResult, Backoff, Choice, Helper, LoadDelta, Member, MemberState, PlacementError,
-    RequestProfile, TargetLoad, Work, WorkId,
+    AttemptResult, Backoff, Choice, ConnectionId, Helper, LoadDelta, Member, MemberState,
+    PlacementError, ReportSource, RequestProfile, TargetLoad, Work, WorkId,
     cost::{Score, packed_engines},
     oversized,
+    reports::Reports,
     target::{Candidate, Target},
 };
 use crate::{
-    ids::{EntryId, ServiceId, TargetId, ZoneId},
+    ids::{ServiceId, TargetId, ZoneId},
     limits::StartBound,
     routes::Service,
 };
@@ -18,23 +19,6 @@
 };
 use twox_hash::XxHash64;
 
-/// Loads that a peer reported, with the time of its last report.
-#[derive(Clone, Debug)]
-struct PeerLoads {
-    reported_at: Instant,
-    loads: BTreeMap<TargetId, TargetLoad>,
-}
-
-impl PeerLoads {
-    fn new(now: Instant) -> Self {
-        Self { reported_at: now, loads: BTreeMap::new() }
-    }
-}
-
-/// Maximum age of a peer's last report for its loads to count: a few report intervals. Older loads
-/// are ignored but kept, since the next report contains only changes.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
-
 /// Factor for the cost of a target in another zone, which prefers targets in the entry's own zone
 /// unless their cost is over 5 % higher. It outweighs the added round trip a little.
 const CROSS_ZONE_FACTOR: f64 = 1.05;
@@ -51,7 +35,7 @@
     zone: ZoneId,
     start_bound: StartBound,
     targets: BTreeMap<TargetId, Target>,
-    peers: BTreeMap<EntryId, PeerLoads>,
+    reports: Reports,
     excluded_zones: BTreeSet<ZoneId>,
     last_id: WorkId,
 }
@@ -63,16 +47,22 @@
     pub targets: BTreeMap<ServiceId, usize>,
     /// Zones whose targets get no requests.
     pub excluded_zones: BTreeSet<ZoneId>,
-    /// Number of peers that have reported loads.
-    pub peers: usize,
+    /// Number of entries whose reports of loads count.
+    pub reports: usize,
 }
 
 impl Pool {
     /// Returns an empty pool of an entry in `zone`; `start_bound` limits the request rate at cold
     /// targets.
     pub fn new(zone: ZoneId, start_bound: StartBound) -> Self {
-        let (targets, peers) = (BTreeMap::new(), BTreeMap::new());
-        Self { zone, start_bound, targets, peers, excluded_zones: BTreeSet::new(), last_id: 0 }
+        Self {
+            zone,
+            start_bound,
+            targets: BTreeMap::new(),
+            reports: Reports::default(),
+            excluded_zones: BTreeSet::new(),
+            last_id: 0,
+        }
     }
 
     /// Replaces the list of targets.
@@ -103,17 +93,49 @@
         self.excluded_zones = zones;
     }
 
-    /// Applies the changes of loads that a peer reports.
-    pub fn update_peer(&mut self, peer: EntryId, delta: &LoadDelta, now: Instant) {
-        let peer = self.peers.entry(peer).or_insert_with(|| PeerLoads::new(now));
-        peer.reported_at = now;
-        delta.apply(&mut peer.loads);
+    /// Applies the changes of the loads of `source` that were received on `connection`.
+    pub fn update_report(
+        &mut self,
+        source: ReportSource,
+        connection: ConnectionId,
+        delta: &LoadDelta,
+        now: Instant,
+    ) {
+        self.reports.update(source, connection, delta, now);
+    }
+
+    /// Removes the loads of `source` if they were last reported on `connection`, which has closed.
+    pub fn remove_report(&mut self, source: &ReportSource, connection: ConnectionId) {
+        self.reports.remove(source, connection);
+    }
+
+    /// Returns the loads that this entry and the members that report to it cause.
+    pub fn member_loads(&self, now: Instant) -> BTreeMap<TargetId, TargetLoad> {
+        self.own_loads_and(now, |source| matches!(source, ReportSource::Member(_)))
+    }
+
+    /// Returns the loads that all entries but the member `source` cause, as far as they are known.
+    pub fn loads_without(
+        &self,
+        source: &ReportSource,
+        now: Instant,
+    ) -> BTreeMap<TargetId, TargetLoad> {
+        self.own_loads_and(now, |other| other != source)
     }
 
-    /// Returns the loads that this entry causes, to report to its peers.
-    pub fn own_loads(&self, now: Instant) -> BTreeMap<TargetId, TargetLoad> {
+    /// Returns the loads that this entry causes, added to those of the reports that `filter`
+    /// selects.
+    fn own_loads_and(
+        &self,
+        now: Instant,
+        filter: impl Fn(&ReportSource) -> bool,
+    ) -> BTreeMap<TargetId, TargetLoad> {
+        let mut loads = self.reports.sums(filter);
         let busy = self.targets.iter().filter(|(_, target)| !target.in_flight.is_empty());
-        busy.map(|(id, target)| (id.clone(), target.in_flight.total_load(now))).collect()
+        for (id, target) in busy {
+            loads.entry(id.clone()).or_default().add(&target.in_flight.total_load(now));
+        }
+        loads
     }
 
     /// Selects a target of `service` that is not in `tried`.
@@ -138,6 +160,7 @@
         entries: usize,
         now: Instant,
     ) -> Result<Choice, PlacementError> {
+        self.reports.expire(now);
         let usable = self.usable(service, tried, backoff, entries, now);
         if usable.iter().all(|candidate| tried.contains(candidate.id)) {
             return Err(PlacementError::NoTarget);
@@ -316,7 +339,7 @@
         PoolSummary {
             targets,
             excluded_zones: self.excluded_zones.clone(),
-            peers: self.peers.len(),
+            reports: self.reports.source_count(),
         }
     }
 
@@ -329,11 +352,7 @@
 
     fn load(&self, id: &str, target: &Target, now: Instant) -> TargetLoad {
         let mut load = target.in_flight.total_load(now);
-        for peer in self.peers.values() {
-            if now.saturating_duration_since(peer.reported_at) <= MAX_REPORT_AGE {
-                load.add(peer.loads.get(id).unwrap_or(&TargetLoad::default()));
-            }
-        }
+        load.add(&self.reports.total(id));
         load
     }
 
--- a/lib/tests/placement/choice.rs
+++ b/lib/tests/placement/choice.rs
@@ -5,7 +5,9 @@
 };
 use fulmarhead_lib::{
     clock::Clock,
-    placement::{Backoff, LoadDelta, PlacementError, Pool, RequestProfile, TargetLoad},
+    placement::{
+        Backoff, LoadDelta, PlacementError, Pool, ReportSource, RequestProfile, TargetLoad,
+    },
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -83,7 +85,7 @@
         })
         .collect();
     let now = fixture.now();
-    fixture.pool.update_peer("peer".into(), &LoadDelta::between(None, &loads), now);
+    fixture.pool.update_report(ReportSource::Relay, 1, &LoadDelta::between(None, &loads), now);
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
     for draw in 0..40 {
         let choice = fixture.choose(&RequestProfile { draw, ..latency_sensitive() }).unwrap();
@@ -99,7 +101,7 @@
     let full = TargetLoad { requests: 16, latency_sensitive: 16, decoding: 16, ..IDLE_LOAD };
     let loads = BTreeMap::from([("t1".to_owned(), full), ("t2".to_owned(), full)]);
     let now = fixture.now();
-    fixture.pool.update_peer("peer".into(), &LoadDelta::between(None, &loads), now);
+    fixture.pool.update_report(ReportSource::Relay, 1, &LoadDelta::between(None, &loads), now);
     assert_eq!(fixture.choose(&latency_sensitive()), Err(PlacementError::Full));
     assert!(fixture.choose(&RequestProfile { overdue: true, ..latency_sensitive() }).is_ok());
 }
@@ -125,7 +127,7 @@
         TargetLoad { requests: 3, prefill_ms: 5_000.0, kv_tokens: 200_000, ..Default::default() };
     let now = fixture.now();
     let loads = BTreeMap::from([(first.clone(), load)]);
-    fixture.pool.update_peer("peer".into(), &LoadDelta::between(None, &loads), now);
+    fixture.pool.update_report(ReportSource::Relay, 1, &LoadDelta::between(None, &loads), now);
     assert_ne!(fixture.choose(&long_prompt()).unwrap().target, first);
     fixture.clock.advance(Duration::from_secs(3));
     assert_eq!(fixture.choose(&long_prompt()).unwrap().target, first);
--- a/lib/tests/placement/oversized.rs
+++ b/lib/tests/placement/oversized.rs
@@ -1,7 +1,7 @@
 //! Tests of prompts that do not fit in the KV cache of one engine.
 
 use crate::fixture::{Fixture, IDLE_LOAD, engine, long_prompt};
-use fulmarhead_lib::placement::{Choice, LoadDelta, RequestProfile, TargetLoad};
+use fulmarhead_lib::placement::{Choice, LoadDelta, ReportSource, RequestProfile, TargetLoad};
 use std::collections::{BTreeMap, BTreeSet};
 use testutils::cases;
 
@@ -14,7 +14,7 @@
     let loads: BTreeMap<_, _> =
         numbers.iter().take(busy.into()).map(|number| (format!("t{number}"), load)).collect();
     let now = fixture.now();
-    fixture.pool.update_peer("peer".into(), &LoadDelta::between(None, &loads), now);
+    fixture.pool.update_report(ReportSource::Relay, 1, &LoadDelta::between(None, &loads), now);
     let profile = RequestProfile { prompt_tokens, ..long_prompt() };
     let choice = fixture.choose(&profile).ok();
     assert_eq!(choice.as_ref().map(|choice| held_tokens(choice).len()), expected);
