lib: select targets so that entries with old views do not collide

The logs of all entries, put together, show up to nine requests more at an engine than the sender knew: entries learn of each other's requests 100 to 250 ms late, and filled the same engines, up to the last known slot.

--- a/lib/src/placement/cost.rs
+++ b/lib/src/placement/cost.rs
@@ -29,9 +29,9 @@
 /// Share of an engine's slots that latency-sensitive requests fill before they use another engine.
 const SLOT_SHARE_BEFORE_NEXT_ENGINE: f64 = 0.5;
 
-/// Share of the slots that latency-sensitive requests fill before they use the engines reserved for
-/// long prompts. The remaining slots absorb requests that entries send before they learn of each
-/// other's loads.
+/// Share of the slots of an engine that latency-sensitive requests fill before they use the engines
+/// reserved for long prompts. The remaining slots absorb requests that entries send before they
+/// learn of each other's loads.
 const SLOT_SHARE_BEFORE_RESERVE: f64 = 0.85;
 
 /// Share of the engines that is reserved for long prompts while the other engines have capacity.
@@ -113,9 +113,11 @@
     ) -> Score {
         let prefill = f64::from(load.prefill_ms);
         let has_free_slot = load.requests < engine.slots;
+        let has_spare_slot =
+            f64::from(load.requests + 1) <= SLOT_SHARE_BEFORE_RESERVE * f64::from(engine.slots);
         let first_event_ms =
             loaded_pass_ms(load, engine) + prefill + engine.prefill_ms(self.prompt_tokens);
-        if has_free_slot && is_packed && prefill <= PREFILL_SHARE * millis(self.max_gap) {
+        if has_spare_slot && is_packed && prefill <= PREFILL_SHARE * millis(self.max_gap) {
             return Score {
                 class: 0,
                 cost: f64::from(load.requests) + prefill / engine.base_pass_ms(),
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -139,7 +139,7 @@
 
 /// Prefill time that is negligible, in ms: smaller differences are not reported again, and a target
 /// with less prefill counts as idle.
-const PREFILL_TOLERANCE_MS: f32 = 20.0;
+pub(super) const PREFILL_TOLERANCE_MS: f32 = 20.0;
 
 /// Changes in the loads of an entry since its last report to a peer.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/lib/src/placement/oversized.rs
+++ b/lib/src/placement/oversized.rs
@@ -36,7 +36,7 @@
         return None;
     }
     idle.sort_by_key(|candidate| {
-        (Reverse(free_memory(candidate, engine)), candidate.target.order_key)
+        (Reverse(free_memory(candidate, engine)), candidate.draw(profile.draw))
     });
     idle.truncate(parts);
     let (holders, share) =
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -4,6 +4,7 @@
     AttemptResult, Backoff, Choice, ConnectionId, Helper, LoadDelta, Member, MemberState,
     PlacementError, ReportSource, RequestProfile, TargetLoad, Work, WorkId,
     cost::{Score, packed_engines},
+    load::PREFILL_TOLERANCE_MS,
     oversized,
     reports::Reports,
     target::{Candidate, Target},
@@ -17,7 +18,6 @@
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
-use twox_hash::XxHash64;
 
 /// Factor for the cost of a target in another zone, which prefers targets in the entry's own zone
 /// unless their cost is over 5 % higher. It outweighs the added round trip a little.
@@ -26,7 +26,11 @@
 /// Maximum number of helpers for one prompt in the platform's protocol.
 pub(super) const MAX_HELPERS: usize = 16;
 
-/// Minimum number of targets that are compared for a latency-sensitive request.
+/// Minimum number of engines of the entry's own zone for which the others are left out. Fewer ones
+/// are soon unevenly loaded, since the zones do not have the same requests at each moment.
+const MIN_LOCAL_ENGINES: usize = 8;
+
+/// Minimum number of engines that are compared for a request.
 const MIN_SAMPLE: usize = 3;
 
 /// State of the targets of all services, as one entry sees them.
@@ -140,8 +144,7 @@
 
     /// Selects a target of `service` that is not in `tried`.
     ///
-    /// This is the target with the lowest score, or with the lowest score of a random sample for a
-    /// latency-sensitive request. A request that does not fit in the memory of one engine gets
+    /// This is the target with the lowest score, among a random sample if the targets are engines. A request that does not fit in the memory of one engine gets
     /// several idle engines.
     ///
     /// `entries` is the number of entries that share the request rate of a cold target.
@@ -181,11 +184,12 @@
                 (position, self.score(candidate, service, profile, position, packed_count))
             })
             .collect();
-        if profile.is_latency_sensitive() && engine.is_some() {
+        let is_undisruptive = scores.iter().any(|(_, score)| score.is_undisruptive());
+        if engine.is_some() && (profile.is_latency_sensitive() || is_undisruptive) {
             // A sample of one entry's share of the targets, so that entries with the same view of
             // the loads spread their requests.
             let size = (usable.len() / entries.max(1)).max(MIN_SAMPLE);
-            sample(&mut scores, &usable, profile.draw, size);
+            self.sample(&mut scores, &usable, profile.draw, size);
         }
         let best = scores.into_iter().min_by(|(_, a), (_, b)| a.compare(b));
         let (position, score) = best.ok_or(PlacementError::Full)?;
@@ -196,7 +200,7 @@
         {
             return Err(PlacementError::Full);
         }
-        Ok(self.build_choice(usable, position, score, service, profile))
+        Ok(self.build_choice(usable, position, packed_count, score, service, profile))
     }
 
     /// Returns the usable targets of `service`, in the order that all entries share.
@@ -228,31 +232,39 @@
     /// [`RequestProfile::part_count`] splits its prompt.
     fn build_choice(
         &self,
-        mut candidates: Vec<Candidate<'_>>,
+        candidates: Vec<Candidate<'_>>,
         position: usize,
+        packed_count: usize,
         score: Score,
         service: &Service,
         profile: &RequestProfile,
     ) -> Choice {
-        let chosen = candidates.swap_remove(position);
-        candidates.retain(|candidate| candidate.available);
-        let count = candidates.len() + 1;
+        let chosen = &candidates[position];
+        let others = candidates.iter().enumerate().filter(|(index, _)| *index != position);
+        let others: Vec<_> = others.filter(|(_, candidate)| candidate.available).collect();
         let mut choice = Choice {
             target: chosen.id.clone(),
             address: chosen.target.member.address,
             load: chosen.load,
             helpers: Vec::new(),
             prefill_ms: 0.0,
-            candidates: count,
+            candidates: others.len() + 1,
         };
         let Some(engine) = &service.engine else { return choice };
         choice.prefill_ms = engine.prefill_ms(profile.prompt_tokens);
         if profile.is_latency_sensitive() || !score.is_undisruptive() {
             return choice;
         }
-        candidates.retain(|candidate| profile.may_help(&candidate.load));
-        candidates.sort_by(|a, b| a.load.prefill_ms.total_cmp(&b.load.prefill_ms));
-        candidates.truncate(MAX_HELPERS);
+        let mut helpers = others;
+        helpers.retain(|(_, candidate)| profile.may_help(&candidate.load));
+        // Entries with the same view of the loads select different helpers among those that are
+        // about equally busy, and leave the engines of latency-sensitive requests to these.
+        helpers.sort_by_cached_key(|(index, candidate)| {
+            let wait = (candidate.load.prefill_ms / PREFILL_TOLERANCE_MS) as u64;
+            (wait, *index < packed_count, !self.is_local(candidate), candidate.draw(profile.draw))
+        });
+        helpers.truncate(MAX_HELPERS);
+        let candidates: Vec<_> = helpers.into_iter().map(|(_, candidate)| candidate).collect();
         let helper_waits: Vec<f64> =
             candidates.iter().map(|candidate| f64::from(candidate.load.prefill_ms)).collect();
         let parts =
@@ -369,20 +381,36 @@
             Some(engine) => profile.score(&candidate.load, engine, position, packed_count),
             None => Score::for_application(&candidate.load),
         };
-        let same_zone = target.member.zone == self.zone;
-        let weighted = if same_zone { score } else { score.scaled(CROSS_ZONE_FACTOR) };
+        let weighted =
+            if self.is_local(candidate) { score } else { score.scaled(CROSS_ZONE_FACTOR) };
         // Divides by the success rate, with a lower bound that keeps the cost finite.
         weighted.scaled(1.0 / (1.0 - target.health.failure_rate()).max(0.05))
     }
-}
 
-/// Reduces the scores to a random sample of `size` from the best class, selected by `draw`, so that
-/// entries with the same view of the loads do not all send to the same target.
-fn sample(scores: &mut Vec<(usize, Score)>, candidates: &[Candidate<'_>], draw: u64, size: usize) {
-    let best = scores.iter().map(|(_, score)| score.class()).min();
-    scores.retain(|(_, score)| Some(score.class()) == best);
-    scores.sort_by_key(|(position, _)| {
-        XxHash64::oneshot(draw, &candidates[*position].target.order_key.to_le_bytes())
-    });
-    scores.truncate(size);
+    /// Reduces the scores to a random sample of `size` from the best class, selected by `draw`, so
+    /// that entries with the same view of the loads do not all send to the same target.
+    ///
+    /// The sample is taken from this entry's zone if that has enough targets of the class: the loads
+    /// there are known sooner than those of other zones.
+    fn sample(
+        &self,
+        scores: &mut Vec<(usize, Score)>,
+        candidates: &[Candidate<'_>],
+        draw: u64,
+        size: usize,
+    ) {
+        let best = scores.iter().map(|(_, score)| score.class()).min();
+        scores.retain(|(_, score)| Some(score.class()) == best);
+        let is_local = |(position, _): &(usize, Score)| self.is_local(&candidates[*position]);
+        if scores.iter().filter(|score| is_local(score)).count() >= size.max(MIN_LOCAL_ENGINES) {
+            scores.retain(is_local);
+        }
+        scores.sort_by_cached_key(|(position, _)| candidates[*position].draw(draw));
+        scores.truncate(size);
+    }
+
+    /// Returns whether the candidate is in this entry's zone.
+    fn is_local(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.target.member.zone == self.zone
+    }
 }
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -89,3 +89,10 @@
     /// request within its start rate.
     pub(super) available: bool,
 }
+
+impl Candidate<'_> {
+    /// Returns a number that is different for each `draw`, and orders candidates at random.
+    pub(super) fn draw(&self, draw: u64) -> u64 {
+        XxHash64::oneshot(draw, &self.target.order_key.to_le_bytes())
+    }
+}
