gateway: take copies of the store from peers at the start

The calls at a start grew with entries times pages.

Change: an entry that starts waits up to 0.6 s for a copy from a peer. A relay waits only until the first peers that it has reached could have sent theirs, so that a fleet which starts as a whole soon has a first copy. A copy from a peer confirms keys as before, only by the age that a response to an own call carries.

--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -36,6 +36,17 @@
 /// are no relay, so that a poll of their relay makes theirs unnecessary.
 const MAX_POLL_STAGGER: Duration = Duration::from_millis(300);
 
+/// Time that an entry waits at its start for a peer's copy before it reads the store: a few
+/// exchanges, and the time by which entries start after each other.
+const PEER_COPY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time that a relay waits for a copy after it has reached its first peers, which send one with
+/// their next message if they have it.
+const RELAY_COPY_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Interval at which an entry that starts checks whether it has a peer's copy.
+const COPY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval at which the age of the replica is checked, shorter than the interval between
 /// exchanges.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -106,7 +117,7 @@
 }
 
 async fn replicate(gateway: &Gateway, part: StorePart) {
-    let mut loaded = false;
+    let mut loaded = wait_for_peer_copy(gateway, part).await;
     let mut retry_delay = INITIAL_RETRY_DELAY;
     let mut failing = false;
     loop {
@@ -159,6 +170,29 @@
     rank.is_some_and(|rank| rank < WATCHING_RELAYS)
 }
 
+/// Waits until a peer has sent a copy of the part, and returns whether one has.
+///
+/// Many entries that start at once would otherwise each read all pages of the store. A relay
+/// hardly waits, so that there soon is a first copy.
+async fn wait_for_peer_copy(gateway: &Gateway, part: StorePart) -> bool {
+    let has_copy = async || {
+        while part.replica(&mut gateway.state()).revision() == 0 {
+            sleep(COPY_CHECK_INTERVAL).await;
+        }
+    };
+    let becomes_relay = async || {
+        while !gateway.roster().is_settled_relay() {
+            sleep(COPY_CHECK_INTERVAL).await;
+        }
+        sleep(RELAY_COPY_TIMEOUT).await;
+    };
+    tokio::select! {
+        () = has_copy() => true,
+        () = becomes_relay() => false,
+        () = sleep(PEER_COPY_TIMEOUT) => false,
+    }
+}
+
 /// Replaces the replica with a snapshot of the part.
 async fn load_snapshot(gateway: &Gateway, part: StorePart) -> Result<(), StoreError> {
     let requested_at = gateway.clock.uptime();
--- a/lib/src/membership/roster.rs
+++ b/lib/src/membership/roster.rs
@@ -139,6 +139,14 @@
         self.before_own().iter().all(|address| self.contact(address).has_failed())
     }
 
+    /// Returns whether this entry is the relay of its zone and knows the properties of all entries
+    /// that answer.
+    pub fn is_settled_relay(&self) -> bool {
+        let unknown = self.entries.iter().filter(|(_, info)| info.is_none());
+        self.is_relay()
+            && unknown.into_iter().all(|(address, _)| self.contact(address).has_failed())
+    }
+
     /// Returns how many relays of other zones rank before this entry, or `None` if it is no relay.
     ///
     /// All relays compute the same order among those that see each other.
