gateway, lib: limit the size of responses, and measure silence by progress

Cause: a target whose response never ends was read until the deadline: a body into memory without a limit, a partial event too, and all of it was searched again for each frame. A stream of single bytes that complete no event never counted as silent, and neither did the body of a buffered response.

Change: heads up to 64 KiB, bodies up to 4 MiB, events up to 256 KiB; more ends the attempt, counts against the target, and the request goes on elsewhere where it may. Silence of a stream ends with a whole event only, and a buffered body must bring 1 KiB in each silence timeout, or the request is retried at another target if it may be. A request that may not be repeated keeps its deadline.

--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -2,17 +2,32 @@
 //! can be retried or reported as a failure.
 
 use super::{
-    attempt::{FailedAttempt, TargetResponse},
+    attempt::{
+        FailedAttempt, SILENCE_CHECK_INTERVAL, TargetResponse, frame_data, should_fail_over,
+    },
     body::{ResponseBody, full_body},
     handle::RequestContext,
     record::{self, ResponseTimes},
 };
-use fulmarhead_lib::{forward::Failure, placement::AttemptResult};
+use bytes::{Bytes, BytesMut};
+use fulmarhead_lib::{
+    forward::{Call, Failure, Sent},
+    placement::AttemptResult,
+};
 use fulmarhead_platform::caller_response_headers;
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, body::Incoming};
+use std::time::Instant;
 use tokio::time::timeout;
 
+/// Maximum size of a body, in bytes. A larger one would take a good part of the memory of a small
+/// entry.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Bytes of a body that must arrive within the silence timeout, or else the target counts as
+/// stalled, even if single bytes arrive.
+const MIN_PROGRESS_BYTES: usize = 1 << 10;
+
 /// Reads the body of a response and returns the response for the caller.
 ///
 /// # Errors
@@ -26,14 +41,13 @@
     let first_byte = context.elapsed();
     let TargetResponse { call, head, headers, body, mut work, connection } = target_response;
     work.record_activity();
-    let remaining = call.deadline().remaining(context.gateway.clock.now());
-    let result = timeout(remaining, body.collect()).await;
+    let result = read_body(context, &call, body).await;
     drop(connection);
     let (failure, reason) = match result {
-        Ok(Ok(_)) if head.is_server_error() && call.may_retry(context.gateway.clock.now()) => {
-            (Failure::BadAnswer, "target answered with an error")
+        Ok(_) if head.is_server_error() && call.may_retry(context.gateway.clock.now()) => {
+            (Failure::BadAnswer, "target answered with an error".to_owned())
         }
-        Ok(Ok(body)) => {
+        Ok(body) => {
             let server_error = head.is_server_error();
             work.set_result(if server_error {
                 AttemptResult::Failed
@@ -45,16 +59,83 @@
             let times =
                 ResponseTimes { first_byte, total: context.elapsed(), ..ResponseTimes::default() };
             record::request_answered(request, target, head.status, times);
-            let mut response = Response::new(full_body(body.to_bytes()));
+            let mut response = Response::new(full_body(body));
             *response.status_mut() =
                 StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
             *response.headers_mut() = caller_response_headers(&headers);
             return Ok(response);
         }
-        Ok(Err(_)) => (Failure::BadAnswer, "answer broke off"),
-        Err(_) => (Failure::Timeout, "answer took too long"),
+        Err(error) => (error.into(), error.to_string()),
     };
     work.set_result(AttemptResult::Failed);
-    record::attempt_failed(&context.head.request_id, call.target(), reason, context.elapsed());
+    record::attempt_failed(&context.head.request_id, call.target(), &reason, context.elapsed());
     Err(FailedAttempt { call: call.record_lost(), failure })
 }
+
+/// The reason why the body of a response was not read completely.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum BodyReadError {
+    /// The connection failed.
+    #[error("answer broke off")]
+    Lost,
+    /// The body is larger than `MAX_BODY_BYTES`, or never ends.
+    #[error("answer is too large")]
+    TooLarge,
+    /// Less than `MIN_PROGRESS_BYTES` arrived within the silence timeout, and the request can be
+    /// retried at another target.
+    #[error("answer stalled")]
+    Stalled,
+    /// The deadline passed.
+    #[error("answer took too long")]
+    Timeout,
+}
+
+impl From<BodyReadError> for Failure {
+    fn from(error: BodyReadError) -> Self {
+        match error {
+            BodyReadError::Lost | BodyReadError::TooLarge => Self::BadAnswer,
+            BodyReadError::Stalled => Self::Silent,
+            BodyReadError::Timeout => Self::Timeout,
+        }
+    }
+}
+
+/// Reads the body of a response.
+async fn read_body(
+    context: &RequestContext,
+    call: &Call<Sent>,
+    mut body: Incoming,
+) -> Result<Bytes, BodyReadError> {
+    let clock = &context.gateway.clock;
+    let mut received = BytesMut::new();
+    let mut period = Period { begun_at: clock.now(), received: 0 };
+    loop {
+        let now = clock.now();
+        let remaining = call.deadline().remaining(now);
+        let period_end = period.begun_at + context.silence_timeout();
+        let wait = period_end.saturating_duration_since(now).max(SILENCE_CHECK_INTERVAL);
+        match timeout(remaining.min(wait), body.frame()).await {
+            Ok(Some(Ok(frame))) => received.extend_from_slice(&frame_data(frame)),
+            Ok(Some(Err(_))) => return Err(BodyReadError::Lost),
+            Ok(None) => return Ok(received.freeze()),
+            Err(_) if remaining <= wait => return Err(BodyReadError::Timeout),
+            Err(_) => {}
+        }
+        if received.len() > MAX_BODY_BYTES {
+            return Err(BodyReadError::TooLarge);
+        }
+        let silence = clock.now().saturating_duration_since(period.begun_at);
+        if received.len() - period.received >= MIN_PROGRESS_BYTES {
+            period = Period { begun_at: clock.now(), received: received.len() };
+        } else if silence >= context.silence_timeout() && should_fail_over(context, call, silence) {
+            return Err(BodyReadError::Stalled);
+        }
+    }
+}
+
+/// Time in which `MIN_PROGRESS_BYTES` of a body must arrive.
+struct Period {
+    begun_at: Instant,
+    /// Size of the body at the beginning, in bytes.
+    received: usize,
+}
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -115,9 +115,11 @@
 ) -> ReadOutcome {
     let clock = &context.gateway.clock;
     let last_activity = clock.now();
-    let mut wait = context.silence_timeout();
+    let mut silence_end = last_activity + context.silence_timeout();
     loop {
         let remaining = target_response.call.deadline().remaining(clock.now());
+        // Bytes that complete no event do not end the silence.
+        let wait = silence_end.saturating_duration_since(clock.now());
         let frame = match timeout(remaining.min(wait), target_response.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return ReadOutcome::Interrupted(Failure::ConnectionLost),
@@ -129,7 +131,7 @@
                 if should_fail_over(context, &target_response.call, silence) {
                     return ReadOutcome::Interrupted(Failure::Silent);
                 }
-                wait = SILENCE_CHECK_INTERVAL;
+                silence_end = clock.now() + SILENCE_CHECK_INTERVAL;
                 continue;
             }
         };
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -17,6 +17,9 @@
 /// accept queue is full answers only after one second.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
 
+/// Maximum size of the head of a response, in bytes, and of the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// The reason why a request has no response head.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum SendError {
@@ -77,7 +80,9 @@
         self,
         request: Request<Full<Bytes>>,
     ) -> Result<PendingResponse, SendError> {
-        let (mut sender, driver) = Builder::new().handshake(TokioIo::new(self.0)).await?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (mut sender, driver) = builder.handshake(TokioIo::new(self.0)).await?;
         let connection = AbortOnDropHandle::new(tokio::spawn(async move {
             // Failures are reported by the request sender or the response body.
             let _ = driver.await;
--- a/lib/src/forward/events.rs
+++ b/lib/src/forward/events.rs
@@ -2,6 +2,9 @@
 
 const EVENT_DELIMITER: &[u8] = b"\n\n";
 
+/// Maximum size of an event, in bytes, far above that of the tokens of one pass of an engine.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Error in a stream of events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum EventError {
@@ -13,6 +16,9 @@
         /// Identifier of the event that was received.
         found: u64,
     },
+    /// An event is larger than [`MAX_EVENT_BYTES`], or never ends.
+    #[error("event is larger than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
 }
 
 /// Buffer that yields complete events of a stream and checks that their identifiers are
@@ -50,17 +56,20 @@
     /// # Errors
     ///
     /// Returns [`EventError::OutOfOrder`] if the identifier of an event is not one higher than that
-    /// of the event before.
+    /// of the event before, and [`EventError::TooLarge`] if the partial event is too large.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
+        // The bytes before were searched when they were added.
+        let searched = self.partial.len().saturating_sub(EVENT_DELIMITER.len() - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = self
-            .partial
+        let end = self.partial[searched..]
             .windows(EVENT_DELIMITER.len())
             .rposition(|window| window == EVENT_DELIMITER)
-        else {
-            return Ok(Vec::new());
-        };
-        let rest = self.partial.split_off(end + EVENT_DELIMITER.len());
+            .map(|position| searched + position + EVENT_DELIMITER.len());
+        if self.partial.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
+            return Err(EventError::TooLarge);
+        }
+        let Some(end) = end else { return Ok(Vec::new()) };
+        let rest = self.partial.split_off(end);
         let complete = std::mem::replace(&mut self.partial, rest);
         for line in complete.split(|&byte| byte == b'\n') {
             self.check_order(line)?;
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -8,6 +8,6 @@
 pub use self::{
     answer::{ResponseHead, Verdict},
     call::{Call, Sent, Unsent},
-    events::{EventBuffer, EventError},
+    events::{EventBuffer, EventError, MAX_EVENT_BYTES},
     failure::{Failure, FailureOutcome},
 };
