gateway: wait less for a peer's copy when a process starts again

The wait came with and is meant for the start of a whole fleet.

Change: 0.15 s, and 0.6 s only at the first start of the whole system, as the settings tell it.

Test: restarted_gateway_does_not_wait_for_silent_peers; with 0.6 s the gateway serves after 616 ms, 500 ms are allowed.

--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -36,9 +36,13 @@
 /// are no relay, so that a poll of their relay makes theirs unnecessary.
 const MAX_POLL_STAGGER: Duration = Duration::from_millis(300);
 
-/// Time that an entry waits at its start for a peer's copy before it reads the store: a few
-/// exchanges, and the time by which entries start after each other.
-const PEER_COPY_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time that an entry waits at its start for a peer's copy before it reads the store. Callers may
+/// be waiting, and peers that run send theirs within a few round trips.
+const PEER_COPY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The same at the first start of the whole system, which has no callers yet: a few exchanges, and
+/// the time by which entries start after each other.
+const FIRST_START_COPY_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time that a relay waits for a copy after it has reached its first peers, which send one with
 /// their next message if they have it.
@@ -186,10 +190,14 @@
         }
         sleep(RELAY_COPY_TIMEOUT).await;
     };
+    let limit = match gateway.settings.first_start {
+        true => FIRST_START_COPY_TIMEOUT,
+        false => PEER_COPY_TIMEOUT,
+    };
     tokio::select! {
         () = has_copy() => true,
         () = becomes_relay() => false,
-        () = sleep(PEER_COPY_TIMEOUT) => false,
+        () = sleep(limit) => false,
     }
 }
 
