--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod oversized;
 mod pool;
 mod reports;
+mod selection;
 mod target;
 
 pub use self::{
--- a/lib/src/placement/oversized.rs
+++ b/lib/src/placement/oversized.rs
@@ -3,7 +3,7 @@
 //! Several engines prefill parts of the prompt, and some of them also hold a part of its KV cache
 //! until the answer ends.
 
-use super::{Choice, Helper, RequestProfile, pool::MAX_HELPERS, target::Candidate};
+use super::{Choice, Helper, RequestProfile, selection::MAX_HELPERS, target::Candidate};
 use crate::{ids::Tokens, routes::EngineModel};
 use std::cmp::Reverse;
 
