gateway: log what a failed attempt had received and the parts of its prompt

The lines of failed attempts could not tell a request that crashes its target from one that was lost with it. They now say how much of the answer had arrived (waiting, begun, streaming) and name the shared parts of the prompt, which platform/ decodes; the last part belongs to one request or session and is left out.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use fulmarhead_lib::{
-    forward::{Call, Failure, ResponseHead, Sent, Unsent, Verdict},
+    forward::{Call, Failure, Progress, ResponseHead, Sent, Unsent, Verdict},
     ids::TargetId,
     placement::{AttemptResult, Backoff, Choice, PlacementError, RequestProfile, Work, WorkId},
     routes::{RouteMatch, Service},
@@ -55,6 +55,7 @@
     started_at: Instant,
     /// Whether the target has sent its first bytes.
     has_responded: bool,
+    progress: Progress,
     result: AttemptResult,
 }
 
@@ -96,6 +97,7 @@
             leases,
             started_at: now,
             has_responded: false,
+            progress: Progress::Waiting,
             result,
         }
     }
@@ -116,6 +118,16 @@
         }
     }
 
+    /// Returns how much of the answer has arrived.
+    pub(super) fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Records how much of the answer has arrived.
+    pub(super) fn set_progress(&mut self, progress: Progress) {
+        self.progress = progress;
+    }
+
     /// Sets the result to report when the work ends; `Abandoned` if it is never set.
     pub(super) fn set_result(&mut self, result: AttemptResult) {
         self.result = result;
@@ -304,7 +316,13 @@
         work.set_result(AttemptResult::Failed);
     }
     let elapsed = now.saturating_duration_since(context.received_at);
-    record::attempt_failed(&context.head.request_id, call.target(), &error.to_string(), elapsed);
+    record::attempt_failed(
+        &context.head,
+        call.target(),
+        work.progress,
+        &error.to_string(),
+        elapsed,
+    );
     match error.is_unsent() {
         true => FailedAttempt::new(call.record_not_sent(), failure),
         false => FailedAttempt::new(call.record_lost(), failure),
@@ -321,11 +339,12 @@
     let head = decode_response_head(parts.status, &parts.headers, &context.head.request_id);
     let verdict = head.verdict();
     if verdict == Verdict::Answer {
+        work.set_progress(Progress::Begun);
         let (headers, connection) = (parts.headers, open_response.connection);
         return Ok(TargetResponse { call, head, headers, body, work, connection });
     }
     let elapsed = context.elapsed();
-    record::response_discarded(&context.head.request_id, call.target(), verdict, elapsed);
+    record::response_discarded(&context.head, call.target(), verdict, elapsed);
     let (result, failure) = match verdict {
         Verdict::Full => (AttemptResult::Full, Failure::Rejected),
         Verdict::WrongTarget => (AttemptResult::Gone, Failure::Rejected),
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -68,7 +68,8 @@
         Err(error) => (error.into(), error.to_string()),
     };
     work.set_result(AttemptResult::Failed);
-    record::attempt_failed(&context.head.request_id, call.target(), &reason, context.elapsed());
+    let (target, progress) = (call.target(), work.progress());
+    record::attempt_failed(&context.head, target, progress, &reason, context.elapsed());
     Err(FailedAttempt { call: call.record_lost(), failure })
 }
 
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -9,7 +9,7 @@
 use async_stream::stream;
 use bytes::Bytes;
 use fulmarhead_lib::{
-    forward::{EventBuffer, Failure},
+    forward::{EventBuffer, Failure, Progress},
     placement::AttemptResult,
 };
 use fulmarhead_platform::caller_response_headers;
@@ -66,6 +66,7 @@
                         }
                         (started, last_chunk_at) = (true, now);
                         target_response.work.record_activity();
+                        target_response.work.set_progress(Progress::Streaming);
                         yield Ok(Bytes::from(events));
                     }
                     ReadOutcome::Complete => {
@@ -159,8 +160,9 @@
     if failure != Failure::Timeout {
         work.set_result(AttemptResult::Failed);
     }
+    let progress = work.progress();
     drop(work);
-    record::attempt_failed(&context.head.request_id, &target, failure.into(), context.elapsed());
+    record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
     buffer.discard_partial();
     let mut call = call.record_lost();
     loop {
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -1,9 +1,10 @@
 //! Writes the outcome of each request to the log and the metrics.
 
 use fulmarhead_lib::{
-    forward::{FailureOutcome, Verdict},
+    forward::{FailureOutcome, Progress, Verdict},
     placement::{Choice, RequestProfile},
 };
+use fulmarhead_platform::RequestHead;
 use log::info;
 use std::time::Duration;
 
@@ -26,17 +27,35 @@
     );
 }
 
-/// Records an attempt that ended without a response for the caller.
-pub(super) fn attempt_failed(request: &str, target: &str, reason: &str, elapsed: Duration) {
+/// Records an attempt that ended without a response for the caller. The parts of the prompt show
+/// what requests that fail in the same way have in common.
+pub(super) fn attempt_failed(
+    head: &RequestHead,
+    target: &str,
+    progress: Progress,
+    reason: &str,
+    elapsed: Duration,
+) {
     metrics::counter!("fulmarhead_attempts_failed_total", "reason" => reason.to_owned())
         .increment(1);
-    let after_ms = millis(elapsed);
-    info!(target: "decision", request, backend = target, reason, after_ms; "attempt failed");
+    let request = &*head.request_id;
+    let progress = <&'static str>::from(progress);
+    let parts: Vec<String> = head.shared_parts.iter().map(|part| format!("{part:x}")).collect();
+    let (parts, after_ms) = (parts.join(","), millis(elapsed));
+    info!(
+        target: "decision", request, backend = target, progress, parts, reason, after_ms;
+        "attempt failed"
+    );
 }
 
 /// Records a target's response that the gateway does not pass to the caller.
-pub(super) fn response_discarded(request: &str, target: &str, verdict: Verdict, elapsed: Duration) {
-    attempt_failed(request, target, verdict.into(), elapsed);
+pub(super) fn response_discarded(
+    head: &RequestHead,
+    target: &str,
+    verdict: Verdict,
+    elapsed: Duration,
+) {
+    attempt_failed(head, target, Progress::Waiting, verdict.into(), elapsed);
 }
 
 /// Timing of a response.
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -4,10 +4,12 @@
 mod call;
 mod events;
 mod failure;
+mod progress;
 
 pub use self::{
     answer::{ResponseHead, Verdict},
     call::{Call, Sent, Unsent},
     events::{EventBuffer, EventError, MAX_EVENT_BYTES},
     failure::{Failure, FailureOutcome},
+    progress::Progress,
 };
