gateway: refuse quarantined prompts at once, and cancel those that wait at targets

Losses are confirmed by a connection that the target refuses. Entries exchange crashes, answers that clear a part, and holds.

--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -1,9 +1,10 @@
 //! State that a gateway reports to operators.
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, quarantine::parts_text};
+use fulmarhead_lib::quarantine::PartSet;
 use fulmarhead_runtime::ops::StateDump;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl StateDump for Gateway {
     fn dump(&self) -> Value {
@@ -17,6 +18,9 @@
         let is_relay = self.roster().is_relay();
         let state = self.state();
         let pool = state.pool.summary();
+        let quarantine = state.quarantine.summary();
+        let encode =
+            |sets: &BTreeSet<PartSet>| -> Vec<String> { sets.iter().map(parts_text).collect() };
         json!({
             "node": self.settings.vm_name,
             "zone": self.settings.zone,
@@ -28,6 +32,9 @@
             "targets": pool.targets,
             "zones_out": pool.excluded_zones,
             "reporting_peers": pool.reports,
+            "quarantined_parts": encode(&quarantine.held),
+            "parts_on_trial": encode(&quarantine.on_trial),
+            "target_crashes": quarantine.crashes,
             "entries": entry_count,
             "relay": is_relay,
             "peers": links,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::{
     leases::{LeaseReceiver, LeaseSender},
     peers::Fetch,
+    quarantine::{LossReceiver, LossSender},
     store::{StorePart, is_stale},
 };
 use fulmarhead_lib::{
@@ -12,6 +13,7 @@
     limits::SharedRetryBudget,
     membership::{EntryInfo, Link, Roster},
     placement::{ConnectionId, Pool},
+    quarantine::Quarantine,
     replica::Replica,
     routes::{CallerLimits, Denial, RouteMatch, RouteTable, Service},
 };
@@ -48,6 +50,12 @@
     Unavailable(#[from] Failure),
 }
 
+/// Receiving ends of the queues of a gateway.
+pub(crate) struct Receivers {
+    pub(crate) leases: LeaseReceiver,
+    pub(crate) losses: LossReceiver,
+}
+
 /// State that the tasks of a gateway share.
 pub struct Gateway {
     /// Settings of the VM and the process, read once at start.
@@ -56,12 +64,15 @@
     pub(crate) store: StoreClient,
     pub(crate) orders: OrderClient,
     pub(crate) lease_sender: LeaseSender,
+    pub(crate) loss_sender: LossSender,
     roster: Mutex<Roster>,
     last_connection: AtomicU64,
     /// Version of the active configuration; 0 before the first.
     pub(crate) config_version: watch::Sender<u64>,
     /// Counts the updates that must be sent to the other entries immediately.
     pub(crate) peer_updates: watch::Sender<u64>,
+    /// Counts the changes of the quarantined parts.
+    pub(crate) quarantine_updates: watch::Sender<u64>,
     state: Mutex<GatewayState>,
 }
 
@@ -79,14 +90,15 @@
     pub(crate) table: Option<Arc<RouteTable>>,
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: BTreeMap<ServiceId, SharedRetryBudget>,
+    pub(crate) quarantine: Quarantine,
     pub(crate) stopping: bool,
 }
 
 impl Gateway {
-    /// Returns a gateway without any configuration or targets, and the receiver of its lease
-    /// commands.
-    pub(crate) fn new(settings: NodeSettings, clock: SharedClock) -> (Arc<Self>, LeaseReceiver) {
-        let (lease_sender, lease_receiver) = LeaseSender::new();
+    /// Returns a gateway without any configuration or targets, and the receivers of its queues.
+    pub(crate) fn new(settings: NodeSettings, clock: SharedClock) -> (Arc<Self>, Receivers) {
+        let (lease_sender, leases) = LeaseSender::new();
+        let (loss_sender, losses) = LossSender::new();
         let state = GatewayState {
             config_replica: Replica::default(),
             target_list: Replica::default(),
@@ -95,6 +107,7 @@
             table: None,
             pool: Pool::new(settings.zone.clone(), settings.start_bound),
             retry_budgets: BTreeMap::new(),
+            quarantine: Quarantine::new(&settings.vm_name),
             stopping: false,
         };
         let info = EntryInfo { zone: settings.zone.clone(), cpu_millis: settings.cpu_millis };
@@ -102,6 +115,7 @@
         let gateway = Self {
             orders: OrderClient::default(),
             lease_sender,
+            loss_sender,
             store: StoreClient::new(settings.store_address),
             roster: Mutex::new(roster),
             last_connection: AtomicU64::new(0),
@@ -109,9 +123,10 @@
             clock,
             config_version: watch::Sender::new(0),
             peer_updates: watch::Sender::new(0),
+            quarantine_updates: watch::Sender::new(0),
             state: Mutex::new(state),
         };
-        (Arc::new(gateway), lease_receiver)
+        (Arc::new(gateway), Receivers { leases, losses })
     }
 
     /// Locks the state. The guard must not be held across an `await`.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod leases;
 mod options;
 mod peers;
+mod quarantine;
 mod reload;
 mod serve;
 mod store;
--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -9,6 +9,7 @@
     ids::{Revision, TargetId},
     membership::{EntryInfo, Link},
     placement::{ConnectionId, LoadDelta, ReportSource, TargetLoad},
+    quarantine::{News, Version},
     replica::Delta,
 };
 use log::info;
@@ -31,6 +32,8 @@
     connection: ConnectionId,
     /// Loads that were sent to the peer; `None` before the first exchange.
     sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
+    /// Version of the quarantine that was sent to the peer.
+    sent_version: Version,
     /// Digest of the entries that the peer knew at its last response.
     peer_roster: Option<u64>,
     /// Parts to request from the peer, with the revisions of the local replicas.
@@ -47,6 +50,7 @@
             link,
             connection,
             sent_loads: None,
+            sent_version: 0,
             peer_roster: None,
             wanted_parts: BTreeMap::new(),
             parts_to_send: BTreeMap::new(),
@@ -68,12 +72,14 @@
     source: Option<ReportSource>,
     /// Loads that were sent to the peer; `None` before the first response that carries any.
     sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
+    /// Version of the quarantine that was sent to the peer.
+    sent_version: Version,
 }
 
 impl CallerSession {
     /// Returns the state of a new connection.
     pub(super) fn new(connection: ConnectionId) -> Self {
-        Self { connection, source: None, sent_loads: None }
+        Self { connection, source: None, sent_loads: None, sent_version: 0 }
     }
 }
 
@@ -92,6 +98,7 @@
         let revisions = StorePart::iter().map(|part| (part, part.replica(&mut state).revision()));
         let revisions = revisions.collect();
         let deltas = build_deltas(&mut state, take(&mut session.parts_to_send));
+        let quarantine = quarantine_news(&state, &mut session.sent_version, now);
         drop(state);
         let roster = self.roster();
         let peer_differs = session.peer_roster.is_some_and(|digest| digest != roster.digest());
@@ -107,6 +114,7 @@
             revisions,
             wanted: take(&mut session.wanted_parts),
             deltas,
+            quarantine,
         }
     }
 
@@ -128,6 +136,9 @@
             Link::Backup | Link::Discovery => None,
         };
         let loads = self.exchange_loads(request.loads, session);
+        self.merge_news(request.quarantine);
+        let quarantine =
+            quarantine_news(&self.state(), &mut session.sent_version, self.clock.now());
         if request.urgent && request.link == Link::Relay {
             self.notify_peers();
         }
@@ -145,6 +156,7 @@
             replicas,
             wanted,
             deltas,
+            quarantine,
         }
     }
 
@@ -186,6 +198,7 @@
         self.add_entries(response.entries);
         self.roster().record_response(address, now);
         session.peer_roster = Some(response.roster);
+        self.merge_news(response.quarantine);
         self.merge_deltas(response.deltas);
         let mut state = self.state();
         if let Some(delta) = &response.loads {
@@ -307,6 +320,14 @@
     delta
 }
 
+/// Returns the changes of the quarantine that the peer does not have, and records that they are
+/// sent.
+fn quarantine_news(state: &GatewayState, sent_version: &mut Version, now: Instant) -> News {
+    let (news, version) = state.quarantine.news_since(*sent_version, now);
+    *sent_version = version;
+    news
+}
+
 /// Returns the changes of the `wanted` parts since the given revisions, without parts that have
 /// none.
 fn build_deltas(
--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -6,6 +6,7 @@
     ids::{EntryId, Revision},
     membership::{EntryInfo, Link},
     placement::LoadDelta,
+    quarantine::News,
     replica::Delta,
 };
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,8 @@
     pub(crate) wanted: BTreeMap<StorePart, Revision>,
     /// Changes of the parts that the responding entry requested in its last response.
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
+    /// Changes of the requesting entry's quarantine since the last exchange on the connection.
+    pub(crate) quarantine: News,
 }
 
 /// State of an entry's replica of one part of the store.
@@ -70,6 +73,8 @@
     pub(crate) wanted: BTreeMap<StorePart, Revision>,
     /// Changes of the parts that the requesting entry requested.
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
+    /// Changes of the responding entry's quarantine since the last exchange on the connection.
+    pub(crate) quarantine: News,
 }
 
 /// Remote calls that each entry serves.
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -149,6 +149,7 @@
 /// A target that has sent a response head that can be passed to the caller.
 pub(super) struct TargetResponse {
     pub(super) call: Call<Sent>,
+    pub(super) choice: Choice,
     pub(super) head: ResponseHead,
     pub(super) headers: hyper::HeaderMap,
     pub(super) body: Incoming,
@@ -181,7 +182,10 @@
     call: Call<Unsent>,
     last_event: Option<u64>,
 ) -> Result<TargetResponse, FailedAttempt> {
-    let gateway = &context.gateway;
+    let (gateway, parts) = (&context.gateway, &context.head.shared_parts);
+    if gateway.quarantine_refusal(parts).is_some() {
+        return Err(FailedAttempt::new(call, Failure::Quarantined));
+    }
     let (route_match, service) = match context.select_service() {
         Ok(selection) => selection,
         Err(failure) => return Err(FailedAttempt::new(call, failure)),
@@ -199,6 +203,9 @@
         return Err(FailedAttempt::new(call, Failure::Overloaded));
     };
     let now = gateway.clock.now();
+    if gateway.state().quarantine.begin_send(parts, now).is_err() {
+        return Err(FailedAttempt::new(call, Failure::Quarantined));
+    }
     let mut work = InFlightWork::begin(context, &choice, leases);
     let call = call.send(choice.target.clone());
     let attempt_number = context.next_attempt();
@@ -210,13 +217,22 @@
         attempt_number,
         remaining,
     );
-    let result =
-        send_request(context, &route_match, &choice, &call, last_event, &work.leases).await;
+    let send = send_request(context, &route_match, &choice, &call, last_event, &work.leases);
+    let result = tokio::select! {
+        biased;
+        result = send => result,
+        () = gateway.wait_quarantined(parts) => Err(SendError::Quarantined),
+    };
     let open_response = match result {
         Ok(open_response) => open_response,
-        Err(error) => return Err(fail_attempt(context, call, &mut work, &error)),
+        Err(error) => {
+            if matches!(error, SendError::Lost(_)) {
+                gateway.report_loss(&choice, Progress::Waiting, parts);
+            }
+            return Err(fail_attempt(context, call, &mut work, &error));
+        }
     };
-    evaluate_response(context, call, work, open_response)
+    evaluate_response(context, call, choice, work, open_response)
 }
 
 /// Selects a target that is not in `tried`, and one in back-off only if no other can take the
@@ -308,11 +324,15 @@
     let failure = match error {
         SendError::Timeout => Failure::Timeout,
         SendError::Silent(_) => Failure::Silent,
+        SendError::Quarantined => Failure::Quarantined,
         _ => Failure::ConnectionLost,
     };
     let waited = now.saturating_duration_since(work.started_at);
     // A deadline that passed before the silence timeout says nothing about the target.
-    if !call.deadline().has_passed(now) || waited >= context.silence_timeout() {
+    // Neither does the quarantine of a part.
+    let is_targets_fault = failure != Failure::Quarantined
+        && (!call.deadline().has_passed(now) || waited >= context.silence_timeout());
+    if is_targets_fault {
         work.set_result(AttemptResult::Failed);
     }
     let elapsed = now.saturating_duration_since(context.received_at);
@@ -332,6 +352,7 @@
 fn evaluate_response(
     context: &RequestContext,
     call: Call<Sent>,
+    choice: Choice,
     mut work: InFlightWork,
     open_response: OpenResponse,
 ) -> Result<TargetResponse, FailedAttempt> {
@@ -341,7 +362,7 @@
     if verdict == Verdict::Answer {
         work.set_progress(Progress::Begun);
         let (headers, connection) = (parts.headers, open_response.connection);
-        return Ok(TargetResponse { call, head, headers, body, work, connection });
+        return Ok(TargetResponse { call, choice, head, headers, body, work, connection });
     }
     let elapsed = context.elapsed();
     record::response_discarded(&context.head, call.target(), verdict, elapsed);
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -39,10 +39,17 @@
     target_response: TargetResponse,
 ) -> Result<Response<ResponseBody>, FailedAttempt> {
     let first_byte = context.elapsed();
-    let TargetResponse { call, head, headers, body, mut work, connection } = target_response;
+    let TargetResponse { call, choice, head, headers, body, mut work, connection } =
+        target_response;
     work.record_activity();
+    let parts = &context.head.shared_parts;
     let result = read_body(context, &call, body).await;
     drop(connection);
+    match result {
+        Ok(_) if head.is_success() => context.gateway.record_answer(parts),
+        Err(BodyReadError::Lost) => context.gateway.report_loss(&choice, work.progress(), parts),
+        _ => {}
+    }
     let (failure, reason) = match result {
         Ok(_) if head.is_server_error() && call.may_retry(context.gateway.clock.now()) => {
             (Failure::BadAnswer, "target answered with an error".to_owned())
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{EventBuffer, Failure, Progress},
+    ids::PromptPartId,
     placement::AttemptResult,
 };
 use fulmarhead_platform::caller_response_headers;
@@ -66,7 +67,10 @@
                         }
                         (started, last_chunk_at) = (true, now);
                         target_response.work.record_activity();
-                        target_response.work.set_progress(Progress::Streaming);
+                        if target_response.work.progress() != Progress::Streaming {
+                            target_response.work.set_progress(Progress::Streaming);
+                            context.gateway.record_answer(&context.head.shared_parts);
+                        }
                         yield Ok(Bytes::from(events));
                     }
                     ReadOutcome::Complete => {
@@ -115,13 +119,26 @@
     buffer: &mut EventBuffer,
 ) -> ReadOutcome {
     let clock = &context.gateway.clock;
+    // A request whose answer has events does not crash its target.
+    let unanswered_parts: &[PromptPartId] = match target_response.work.progress() {
+        Progress::Streaming => &[],
+        Progress::Waiting | Progress::Begun => &context.head.shared_parts,
+    };
     let last_activity = clock.now();
     let mut silence_end = last_activity + context.silence_timeout();
     loop {
         let remaining = target_response.call.deadline().remaining(clock.now());
         // Bytes that complete no event do not end the silence.
         let wait = silence_end.saturating_duration_since(clock.now());
-        let frame = match timeout(remaining.min(wait), target_response.body.frame()).await {
+        let frame = timeout(remaining.min(wait), target_response.body.frame());
+        let frame = tokio::select! {
+            biased;
+            frame = frame => frame,
+            () = context.gateway.wait_quarantined(unanswered_parts) => {
+                return ReadOutcome::Interrupted(Failure::Quarantined);
+            }
+        };
+        let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return ReadOutcome::Interrupted(Failure::ConnectionLost),
             Ok(None) if buffer.is_complete() => return ReadOutcome::Complete,
@@ -152,12 +169,12 @@
     buffer: &mut EventBuffer,
     failure: Failure,
 ) -> Option<TargetResponse> {
-    let TargetResponse { call, mut work, connection, body, .. } = target_response;
+    let TargetResponse { call, choice, mut work, connection, body, .. } = target_response;
     // Closing the connection cancels the request if the target is still running it.
     drop((connection, body));
     let target = call.target().clone();
-    // After a timeout the result stays `Abandoned`, which does not count against the target.
-    if failure != Failure::Timeout {
+    // Otherwise the result stays `Abandoned`, which does not count against the target.
+    if !matches!(failure, Failure::Timeout | Failure::Quarantined) {
         work.set_result(AttemptResult::Failed);
     }
     let progress = work.progress();
@@ -165,6 +182,13 @@
     record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
     buffer.discard_partial();
     let mut call = call.record_lost();
+    if failure == Failure::ConnectionLost {
+        let parts = &context.head.shared_parts;
+        context.gateway.report_loss(&choice, progress, parts);
+        if progress == Progress::Begun && context.gateway.is_suspected(parts) {
+            return None;
+        }
+    }
     loop {
         if !call.may_send(context.gateway.clock.now()) {
             return None;
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -250,15 +250,21 @@
             continue;
         }
         let now = context.gateway.clock.now();
-        let is_final = matches!(failed.failure, Failure::NoTarget | Failure::StaleConfiguration);
+        let is_final = matches!(
+            failed.failure,
+            Failure::NoTarget | Failure::StaleConfiguration | Failure::Quarantined
+        );
         if is_final || !failed.call.may_send(now) || context.should_give_up(&failed) {
             let failure_outcome = failed.call.end(failed.failure);
             record::request_failed(&context.head.request_id, failure_outcome, context.elapsed());
-            let late = context.streaming && context.would_retry_be_late();
-            return refusal_response(
-                failure_outcome,
-                retry_delay(failed.failure, late, context.route_timeout),
-            );
+            let delay = match failed.failure {
+                Failure::Quarantined => context.record_quarantine(),
+                failure => {
+                    let late = context.streaming && context.would_retry_be_late();
+                    retry_delay(failure, late, context.route_timeout)
+                }
+            };
+            return refusal_response(failure_outcome, delay);
         }
         call = failed.call;
     }
@@ -278,6 +284,16 @@
             || self.elapsed() >= self.profile.objective.mul_f64(CAPACITY_WAIT_SHARE)
     }
 
+    /// Records which parts of the prompt are quarantined, and returns the time until a request with
+    /// them may be sent again.
+    fn record_quarantine(&self) -> Duration {
+        let Some(refusal) = self.gateway.quarantine_refusal(&self.head.shared_parts) else {
+            return DEFAULT_RETRY_DELAY;
+        };
+        record::request_quarantined(&self.head.request_id, &refusal);
+        refusal.remaining
+    }
+
     /// Returns whether to refuse the request after `failed`, because no target has capacity or the
     /// maximum number of connections was tried.
     fn should_give_up(&self, failed: &FailedAttempt) -> bool {
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -1,8 +1,10 @@
 //! Writes the outcome of each request to the log and the metrics.
 
+use crate::quarantine::parts_text;
 use fulmarhead_lib::{
     forward::{FailureOutcome, Progress, Verdict},
     placement::{Choice, RequestProfile},
+    quarantine::Refusal,
 };
 use fulmarhead_platform::RequestHead;
 use log::info;
@@ -40,8 +42,7 @@
         .increment(1);
     let request = &*head.request_id;
     let progress = <&'static str>::from(progress);
-    let parts: Vec<String> = head.shared_parts.iter().map(|part| format!("{part:x}")).collect();
-    let (parts, after_ms) = (parts.join(","), millis(elapsed));
+    let (parts, after_ms) = (parts_text(&head.shared_parts), millis(elapsed));
     info!(
         target: "decision", request, backend = target, progress, parts, reason, after_ms;
         "attempt failed"
@@ -94,6 +95,13 @@
     info!(target: "decision", request, outcome, reason, total_ms; "request failed");
 }
 
+/// Records a request that is refused, or whose attempt was ended, because parts of its prompt
+/// crash targets.
+pub(super) fn request_quarantined(request: &str, refusal: &Refusal) {
+    let (parts, remaining_ms) = (parts_text(&refusal.parts), millis(refusal.remaining));
+    info!(target: "decision", request, parts, remaining_ms; "the prompt is quarantined");
+}
+
 /// Records a request that the configuration denies.
 pub(super) fn request_denied(request: &str, reason: &str, version: u64) {
     metrics::counter!("fulmarhead_denied_total", "reason" => reason.to_owned()).increment(1);
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -37,6 +37,9 @@
     /// target.
     #[error("no answer within {0:?}")]
     Silent(Duration),
+    /// A part of the prompt was quarantined while the target had not begun to answer.
+    #[error("a part of the prompt was quarantined")]
+    Quarantined,
     /// The target sent no response head before the deadline.
     #[error("no answer within the time limit")]
     Timeout,
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -1,9 +1,10 @@
 //! Supervisor tree and life cycle of a gateway.
 
 use crate::{
-    gateway::Gateway,
-    leases::{LeaseReceiver, maintain_leases},
+    gateway::{Gateway, Receivers},
+    leases::maintain_leases,
     peers::{PeerServer, exchange_with_peers},
+    quarantine::confirm_crashes,
     reload::reload_seeds,
     serve::CallerServer,
     store::{StorePart, watch_store},
@@ -86,9 +87,9 @@
     shutdown: CancellationToken,
 ) -> TaskResult {
     let readiness = Readiness::default();
-    let (gateway, lease_receiver) = Gateway::new(settings, clock);
+    let (gateway, receivers) = Gateway::new(settings, clock);
     let process = Process::new(readiness.clone());
-    let supervisor = supervisor(&gateway, lease_receiver, listeners, readiness, metrics);
+    let supervisor = supervisor(&gateway, receivers, listeners, readiness, metrics);
     let stop = CancellationToken::new();
     tokio::select! {
         result = supervisor.run(stop.clone()) => result,
@@ -131,7 +132,7 @@
 
 fn supervisor(
     gateway: &Arc<Gateway>,
-    lease_receiver: LeaseReceiver,
+    receivers: Receivers,
     listeners: Listeners,
     readiness: Readiness,
     metrics: Option<MetricsHandle>,
@@ -144,7 +145,7 @@
     let name = format!("gateway {}", gateway.settings.vm_name);
     let supervisor = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_timeout(stop_timeout);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
-    let [operator, members, peers, control, settings, leases, callers] =
+    let [operator, members, peers, control, settings, leases, crashes, callers] =
         std::array::from_fn(|_| Arc::clone(gateway));
     let probe_router = readiness_router(readiness.clone());
     let supervisor = match listeners.ops {
@@ -171,7 +172,10 @@
         .permanent("peers", move |stop| exchange_with_peers(Arc::clone(&peers), stop))
         .permanent("settings", move |stop| reload_seeds(Arc::clone(&settings), stop))
         .permanent("leases", move |stop| {
-            maintain_leases(Arc::clone(&leases), lease_receiver.clone(), stop)
+            maintain_leases(Arc::clone(&leases), receivers.leases.clone(), stop)
+        })
+        .permanent("crashes", move |stop| {
+            confirm_crashes(Arc::clone(&crashes), receivers.losses.clone(), stop)
         })
         .permanent("callers", move |stop| {
             CallerServer::new(Arc::clone(&listeners.callers)).run(Arc::clone(&callers), stop)
