lib: take a refusal of another request for no word on this one

Other operators saw workers repeat an earlier refusal, and callers were told 'not run' for requests that ran. A gateway opens a connection for each request, but it took a 421, or a response marked as not run, without a look at the request that it names: an order got 503 'not run' and could be sent again. Such a response with the identifier of another request is now invalid, as a success is; one without any identifier counts as before.

--- a/lib/src/forward/answer.rs
+++ b/lib/src/forward/answer.rs
@@ -2,13 +2,24 @@
 
 use strum::{Display, IntoStaticStr};
 
+/// Whether a response carries the identifier of the request that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestMatch {
+    /// It carries the identifier of the request.
+    Same,
+    /// It carries none.
+    Absent,
+    /// It carries another one, so that it belongs to another request.
+    Other,
+}
+
 /// Decoded status and headers of a target's response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
     /// HTTP status code.
     pub status: u16,
-    /// Whether the response carries the identifier of the request that was sent.
-    pub matches_request: bool,
+    /// Whether the response belongs to the request that was sent.
+    pub request_match: RequestMatch,
     /// Whether the response carries the target's signature.
     pub signed: bool,
     /// Whether the response is marked as "request not executed".
@@ -45,6 +56,10 @@
 impl ResponseHead {
     /// Returns the meaning of the response for the request.
     pub fn verdict(&self) -> Verdict {
+        // A refusal of another request does not say that this one did not run.
+        if self.request_match == RequestMatch::Other {
+            return Verdict::Invalid;
+        }
         if self.status == MISDIRECTED {
             return Verdict::WrongTarget;
         }
@@ -55,7 +70,8 @@
                 _ => Verdict::NotRun,
             };
         }
-        if !self.matches_request || self.encoded || (self.is_success() && !self.signed) {
+        let is_unidentified = self.request_match == RequestMatch::Absent;
+        if is_unidentified || self.encoded || (self.is_success() && !self.signed) {
             return Verdict::Invalid;
         }
         Verdict::Answer
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -7,7 +7,7 @@
 mod progress;
 
 pub use self::{
-    answer::{ResponseHead, Verdict},
+    answer::{RequestMatch, ResponseHead, Verdict},
     call::{Call, Sent, Unsent},
     events::{EventBuffer, EventError, MAX_EVENT_BYTES},
     failure::{Failure, FailureOutcome},
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -4,7 +4,8 @@
 use fulmarhead_lib::{
     clock::Clock,
     forward::{
-        Call, EventBuffer, EventError, Failure, FailureOutcome, ResponseHead, Unsent, Verdict,
+        Call, EventBuffer, EventError, Failure, FailureOutcome, RequestMatch, ResponseHead, Unsent,
+        Verdict,
     },
     request::Deadline,
     routes::RetryPolicy,
@@ -62,7 +63,7 @@
 fn response_head(status: u16) -> ResponseHead {
     ResponseHead {
         status,
-        matches_request: true,
+        request_match: RequestMatch::Same,
         signed: true,
         not_run: false,
         encoded: false,
@@ -118,7 +119,12 @@
         server_error: (response_head(500), Verdict::Answer),
         /// Guards against accepting a response to another request on the same connection.
         response_to_another_request: (
-            ResponseHead { matches_request: false, ..response_head(200) }, Verdict::Invalid,
+            ResponseHead { request_match: RequestMatch::Other, ..response_head(200) },
+            Verdict::Invalid,
+        ),
+        success_of_unknown_sender: (
+            ResponseHead { request_match: RequestMatch::Absent, ..response_head(200) },
+            Verdict::Invalid,
         ),
         unsigned_success: (ResponseHead { signed: false, ..response_head(200) }, Verdict::Invalid),
         encoded: (ResponseHead { encoded: true, ..response_head(200) }, Verdict::Invalid),
@@ -126,12 +132,26 @@
         /// Guards against treating a 503 as "not run" that carries neither the "not executed" mark
         /// nor the identifier of the request.
         unavailable_of_unknown_sender: (
-            ResponseHead { matches_request: false, ..response_head(503) }, Verdict::Invalid,
+            ResponseHead { request_match: RequestMatch::Absent, ..response_head(503) },
+            Verdict::Invalid,
         ),
         wrong_target: (
-            ResponseHead { matches_request: false, signed: false, ..response_head(421) },
+            ResponseHead {
+                request_match: RequestMatch::Absent,
+                signed: false,
+                ..response_head(421)
+            },
             Verdict::WrongTarget,
         ),
+        /// Guards against "not run" because of a refusal that was meant for another request.
+        refusal_of_another_request: (
+            ResponseHead { not_run: true, request_match: RequestMatch::Other, ..response_head(503) },
+            Verdict::Invalid,
+        ),
+        misdirection_of_another_request: (
+            ResponseHead { request_match: RequestMatch::Other, ..response_head(421) },
+            Verdict::Invalid,
+        ),
         rate_limited: (ResponseHead { not_run: true, ..response_head(429) }, Verdict::NotRun),
     }
 
