--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -36,9 +36,9 @@
 enum ReadOutcome {
     /// Complete events, encoded for the caller.
     Events(Vec<u8>),
-    /// The stream ended, and no event is partial.
+    /// The stream ended after at least one event, and no event is partial.
     Complete,
-    /// The connection failed, an event was partial or out of order, the target was silent, or the
+    /// The connection failed, there was no event, an event was partial or out of order, the target was silent, or the
     /// deadline passed.
     Interrupted(Failure),
 }
@@ -141,7 +141,9 @@
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return ReadOutcome::Interrupted(Failure::ConnectionLost),
-            Ok(None) if buffer.is_complete() => return ReadOutcome::Complete,
+            Ok(None) if buffer.is_complete() && buffer.last_event().is_some() => {
+                return ReadOutcome::Complete;
+            }
             Ok(None) => return ReadOutcome::Interrupted(Failure::BadAnswer),
             Err(_) if remaining <= wait => return ReadOutcome::Interrupted(Failure::Timeout),
             Err(_) => {
