--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant, SystemTime},
 };
 
@@ -89,6 +89,8 @@
 pub(super) struct Suspicion {
     /// Sum of the weights of the crashes that count.
     pub(super) weight: u32,
+    /// Number of crashes that count.
+    pub(super) crashes: usize,
     /// Time of the first crash.
     pub(super) first_at: Instant,
     last_counted: Option<Instant>,
@@ -98,7 +100,7 @@
 
 impl Suspicion {
     fn new(first_at: Instant) -> Self {
-        Self { weight: 0, first_at, last_counted: None, companions: PartSet::new() }
+        Self { weight: 0, crashes: 0, first_at, last_counted: None, companions: PartSet::new() }
     }
 
     fn add(&mut self, at: Instant, weight: u32, suspects: &PartSet) {
@@ -110,6 +112,7 @@
             self.last_counted.is_some_and(|last| at.saturating_duration_since(last) < MIN_SPACING);
         if !is_near {
             self.weight += weight;
+            self.crashes += 1;
             self.last_counted = Some(at);
         }
     }
@@ -182,6 +185,20 @@
         suspicions
     }
 
+    /// Returns the number of crashes since `since`, where those of the same time count as one.
+    pub(super) fn count_since(&self, since: Instant) -> usize {
+        let recent = self.crashes.values().map(|crash| crash.at).filter(|at| *at >= since);
+        let times: BTreeSet<Instant> = recent.collect();
+        let mut count = 0;
+        let mut last: Option<Instant> = None;
+        for at in times {
+            if last.is_none_or(|last| at.saturating_duration_since(last) >= MIN_SPACING) {
+                (count, last) = (count + 1, Some(at));
+            }
+        }
+        count
+    }
+
     /// Returns the parts of requests whose answers had begun in the crash `id`.
     pub(super) fn begun_parts(&self, id: &CrashId) -> PartSet {
         self.crashes.get(id).map(|crash| crash.begun.clone()).unwrap_or_default()
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -33,6 +33,11 @@
 /// nothing is answered at all, the targets have another problem than that part.
 const MIN_OTHER_ANSWERS: usize = 2;
 
+/// Share of all crashes since the first one that a part must be suspected of, unless it has crashed
+/// twice as many targets as otherwise needed. When many targets crash for another reason, some parts
+/// are in several of the crashes by chance.
+const MIN_CRASH_SHARE: f64 = 0.25;
+
 /// Maximum number of holds; the oldest are released first.
 const MAX_HOLDS: usize = 256;
 
@@ -297,9 +302,7 @@
         let rank = |part: &PromptPartId, suspicion: &Suspicion| {
             (suspicion.weight, Reverse(self.answers.last(*part)))
         };
-        let proved = suspicions.iter().filter(|(_, suspicion)| {
-            suspicion.weight >= CONVICTION_WEIGHT && self.has_other_answers(suspicion.first_at)
-        });
+        let proved = suspicions.iter().filter(|(_, suspicion)| self.is_proved(suspicion));
         let sets = proved.map(|(part, suspicion)| {
             let strongest = rank(part, suspicion);
             let is_equal = |other: &PromptPartId| {
@@ -315,6 +318,14 @@
         new.max_by_key(|(strongest, _)| *strongest).map(|(_, set)| set)
     }
 
+    fn is_proved(&self, suspicion: &Suspicion) -> bool {
+        let Suspicion { weight, crashes, first_at, .. } = *suspicion;
+        let share = crashes as f64 / self.evidence.count_since(first_at).max(1) as f64;
+        weight >= CONVICTION_WEIGHT
+            && (share >= MIN_CRASH_SHARE || weight >= 2 * CONVICTION_WEIGHT)
+            && self.has_other_answers(first_at)
+    }
+
     /// Returns whether all requests with the parts of `set` are held or on trial.
     fn is_covered(&self, set: &PartSet) -> bool {
         self.holds().any(|held| held.is_subset(set))
