agent: open a connection for each call of the target, and say 'not run' only for refusals

A faulty worker that sends an earlier refusal again on a kept connection was taken to have refused the next call: the agent's client reuses connections, and the responses of engines and applications name no request. Work at the target, which runs on the agent's own VM, uses a connection for each call now.

An engine's 500, or any other error that is no refusal, counted as 'not run'. It counts as failed now; 503, 507 and 404 are the engine's own refusals.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -55,6 +55,8 @@
     pub incarnation: Incarnation,
     pub(crate) clock: SharedClock,
     pub(crate) client: Client,
+    /// Client for work at the target, which may repeat an earlier response on a kept connection.
+    pub(crate) target_client: Client,
     pub(crate) engine: EngineClient,
     /// Whether the target was read and a configuration is active.
     pub(crate) ready: watch::Sender<bool>,
@@ -126,6 +128,7 @@
             clock,
             engine: EngineClient::new(settings.target_address, client.clone()),
             client,
+            target_client: Client::without_pool(),
             ready: watch::Sender::new(false),
             settled_keys: watch::Sender::new(0),
             target_lost: watch::Sender::new(false),
--- a/agent/src/work/applications.rs
+++ b/agent/src/work/applications.rs
@@ -250,7 +250,7 @@
 
 /// Sends a call to the application and reads the whole answer, until the deadline of the call.
 async fn send(agent: &Agent, call: &Call) -> Result<Answer, ClientError> {
-    let sent = agent.client.send(
+    let sent = agent.target_client.send(
         call.method.clone(),
         &call.endpoint,
         call.headers.clone(),
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -108,7 +108,7 @@
 ) -> Result<Response, RefusalResponse> {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, axum::http::HeaderValue::from_static("application/json"));
-    let sent = agent.client.send(call.method, &call.endpoint, headers, call.body);
+    let sent = agent.target_client.send(call.method, &call.endpoint, headers, call.body);
     let sent = timeout_at(deadline.instant().into(), sent);
     let result = tokio::select! {
         result = sent => result,
@@ -130,7 +130,7 @@
         }
         Err(_) => return Err(Refusal::failed(Reason::DeadlineExceeded).into()),
     };
-    if let Some(refusal) = refusal_for_status(engine_response.status()) {
+    if let Some(refusal) = Refusal::from_engine_status(engine_response.status().as_u16()) {
         if engine_response.status() == StatusCode::SERVICE_UNAVAILABLE {
             permit.record_failed();
         }
@@ -145,16 +145,3 @@
     *response.body_mut() = forward(engine_response.into_body(), permit, deadline);
     Ok(response)
 }
-
-/// Returns the refusal for an error status of the engine, or `None` for a success.
-fn refusal_for_status(status: StatusCode) -> Option<Refusal> {
-    let reason = match status {
-        StatusCode::SERVICE_UNAVAILABLE => Reason::Overloaded,
-        StatusCode::INSUFFICIENT_STORAGE => Reason::NoMemory,
-        // The engine does not serve the model, or no longer holds the stream.
-        StatusCode::NOT_FOUND => Reason::OutOfService,
-        status if status.is_success() => return None,
-        _ => Reason::TargetFailed,
-    };
-    Some(Refusal::not_run(reason))
-}
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -186,6 +186,19 @@
         Self { reason, outcome: Outcome::NotRun, retry_after: None }
     }
 
+    /// Returns the refusal for the status of a model engine's response, or `None` if it is a
+    /// success. An engine that reports an error other than a refusal may have run the request.
+    pub fn from_engine_status(status: u16) -> Option<Self> {
+        match status {
+            200..300 => None,
+            503 => Some(Self::not_run(Reason::Overloaded)),
+            507 => Some(Self::not_run(Reason::NoMemory)),
+            // The engine does not serve the model, or no longer holds the stream.
+            404 => Some(Self::not_run(Reason::OutOfService)),
+            _ => Some(Self::failed(Reason::TargetFailed)),
+        }
+    }
+
     /// Returns a refusal of a request that may have run.
     pub fn unknown(reason: Reason) -> Self {
         Self { reason, outcome: Outcome::Unknown, retry_after: None }
--- a/runtime/src/http/client.rs
+++ b/runtime/src/http/client.rs
@@ -86,19 +86,30 @@
 
 impl Default for Client {
     fn default() -> Self {
+        Self::with_idle_connections(usize::MAX)
+    }
+}
+
+impl Client {
+    /// Returns a client that opens a connection for each call. A server that sends a response twice
+    /// can then not be taken to have answered the next call.
+    pub fn without_pool() -> Self {
+        Self::with_idle_connections(0)
+    }
+
+    fn with_idle_connections(count: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(count)
             .retry_canceled_requests(false)
             .build(connector);
         Self { inner }
     }
-}
 
-impl Client {
     /// Sends a request and returns the response once its headers have arrived.
     ///
     /// # Errors
--- /dev/null
+++ b/runtime/tests/client.rs
@@ -0,0 +1,59 @@
+//! Tests of the HTTP client against a server that breaks the protocol.
+
+use bytes::Bytes;
+use fulmarhead_runtime::http::{Client, Endpoint, read_body};
+use hyper::{HeaderMap, Method};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nbusy";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+
+/// Starts a server that refuses the first call on its first connection and answers all others, and
+/// that sends the refusal once more when a call comes on the first connection again.
+async fn start_repeating_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (first, _) = listener.accept().await.unwrap();
+        tokio::spawn(serve(first, &[REFUSAL, REFUSAL]));
+        loop {
+            let (connection, _) = listener.accept().await.unwrap();
+            tokio::spawn(serve(connection, &[ANSWER]));
+        }
+    });
+    address
+}
+
+async fn serve(mut connection: TcpStream, responses: &'static [&'static [u8]]) {
+    let mut request = [0; 4096];
+    for response in responses {
+        if !matches!(connection.read(&mut request).await, Ok(1..)) {
+            return;
+        }
+        connection.write_all(response).await.unwrap();
+    }
+    sleep(Duration::from_secs(5)).await;
+}
+
+/// Guards against a call that counts as refused, and so as not run, because the server sent the
+/// refusal of an earlier one again.
+#[tokio::test]
+async fn repeated_refusal_is_not_taken_for_an_answer() {
+    let endpoint = Endpoint::new(start_repeating_server().await, "/");
+    let client = Client::without_pool();
+    let mut statuses = Vec::new();
+    for _ in 0..2 {
+        let sent = client.send(Method::POST, &endpoint, HeaderMap::new(), Bytes::new());
+        let response = sent.await.unwrap();
+        statuses.push(response.status().as_u16());
+        read_body(response.into_body(), 1_024).await.unwrap();
+        // A pooled connection would be idle by now.
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(statuses, [503, 200]);
+}
