gateway: send nothing to targets that are leaving or have asked for a pause

Targets say in each response that they are leaving, and may add a time to a refusal during which they want nothing from this entry. Neither was decoded: a refusal led to a back-off of 60 ms, and a leaving target got requests until the list of targets showed it.

If all targets pause, requests are refused at once with the time until the first may be asked, spread by up to a third.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -12,12 +12,13 @@
     ids::ServiceId,
     limits::SharedRetryBudget,
     membership::{EntryInfo, Link, Roster},
-    placement::{ConnectionId, Pool},
+    placement::{Choice, ConnectionId, Notice, NoticeEffect, Pool},
     quarantine::Quarantine,
     replica::Replica,
     routes::{CallerLimits, Denial, RouteMatch, RouteTable, Service},
 };
 use fulmarhead_platform::{NodeSettings, OrderClient, StoreClient};
+use log::info;
 use std::{
     collections::BTreeMap,
     future::pending,
@@ -220,6 +221,24 @@
         budget.is_some_and(|budget| budget.allows(&self.settings.retry_settings, entry_count, now))
     }
 
+    /// Records what a response of the target of `choice` says about further requests.
+    pub(crate) fn record_notice(&self, choice: &Choice, notice: Notice) {
+        let effect = self.state().pool.record_notice(choice, notice, self.clock.now());
+        let backend = &*choice.target;
+        match effect {
+            Some(NoticeEffect::Leaving) => {
+                metrics::counter!("fulmarhead_targets_leaving_total").increment(1);
+                info!(target: "decision", backend; "target is leaving; it gets no new requests");
+            }
+            Some(NoticeEffect::Paused(pause)) => {
+                metrics::counter!("fulmarhead_target_pauses_total").increment(1);
+                let pause_ms = pause.as_millis() as u64;
+                info!(target: "decision", backend, pause_ms; "target wants no requests for a time");
+            }
+            None => {}
+        }
+    }
+
     /// Returns whether the gateway has a list of targets and a configuration that is recent enough
     /// to accept keys.
     pub(crate) fn is_ready(&self) -> bool {
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -162,11 +162,13 @@
 pub(super) struct FailedAttempt {
     pub(super) call: Call<Unsent>,
     pub(super) failure: Failure,
+    /// Time after which a target may accept the request, if it is known.
+    pub(super) retry_after: Option<Duration>,
 }
 
 impl FailedAttempt {
     fn new(call: Call<Unsent>, failure: Failure) -> Self {
-        Self { call, failure }
+        Self { call, failure, retry_after: None }
     }
 }
 
@@ -197,12 +199,20 @@
         Ok(choice) => choice,
         Err(PlacementError::NoTarget) => return Err(FailedAttempt::new(call, Failure::NoTarget)),
         Err(PlacementError::Full) => return Err(FailedAttempt::new(call, Failure::Overloaded)),
+        Err(PlacementError::Paused(pause)) => {
+            let failed = FailedAttempt::new(call, Failure::Paused);
+            return Err(FailedAttempt { retry_after: Some(pause), ..failed });
+        }
     };
     let Ok(leases) = acquire_leases(gateway, &context.head.request_id, &choice.helpers).await
     else {
         return Err(FailedAttempt::new(call, Failure::Overloaded));
     };
     let now = gateway.clock.now();
+    // Acquiring the leases took time.
+    if !gateway.state().pool.wants_requests(&choice, now) {
+        return Err(FailedAttempt::new(call, Failure::Overloaded));
+    }
     if gateway.state().quarantine.begin_send(parts, now).is_err() {
         return Err(FailedAttempt::new(call, Failure::Quarantined));
     }
@@ -358,6 +368,7 @@
 ) -> Result<TargetResponse, FailedAttempt> {
     let (parts, body) = open_response.response.into_parts();
     let head = decode_response_head(parts.status, &parts.headers, &context.head.request_id);
+    context.gateway.record_notice(&choice, head.notice);
     let verdict = head.verdict();
     if verdict == Verdict::Answer {
         work.set_progress(Progress::Begun);
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -4,7 +4,7 @@
     attempt::{FailedAttempt, run_attempt},
     body::ResponseBody,
     buffered, events, record,
-    refusal::{DEFAULT_RETRY_DELAY, problem_response, refusal_response, retry_delay},
+    refusal::{DEFAULT_RETRY_DELAY, pause_delay, problem_response, refusal_response, retry_delay},
 };
 use crate::gateway::{Gateway, SelectError};
 use bytes::Bytes;
@@ -252,13 +252,17 @@
         let now = context.gateway.clock.now();
         let is_final = matches!(
             failed.failure,
-            Failure::NoTarget | Failure::StaleConfiguration | Failure::Quarantined
+            Failure::NoTarget
+                | Failure::StaleConfiguration
+                | Failure::Quarantined
+                | Failure::Paused
         );
         if is_final || !failed.call.may_send(now) || context.should_give_up(&failed) {
             let failure_outcome = failed.call.end(failed.failure);
             record::request_failed(&context.head.request_id, failure_outcome, context.elapsed());
             let delay = match failed.failure {
                 Failure::Quarantined => context.record_quarantine(),
+                Failure::Paused => pause_delay(failed.retry_after.unwrap_or_default()),
                 failure => {
                     let late = context.streaming && context.would_retry_be_late();
                     retry_delay(failure, late, context.route_timeout)
--- a/gateway/src/serve/refusal.rs
+++ b/gateway/src/serve/refusal.rs
@@ -29,6 +29,16 @@
     }
 }
 
+/// Range, as a share of the time until the first target wants requests again, of the time by which
+/// callers return later than that, so that they don't return together.
+const PAUSE_SPREAD: Range<f64> = 0.05..0.35;
+
+/// Returns the delay after which a caller may retry that is refused because all targets want no
+/// requests for `pause`.
+pub(super) fn pause_delay(pause: Duration) -> Duration {
+    pause.mul_f64(1.0 + rand::rng().random_range(PAUSE_SPREAD))
+}
+
 /// Returns the response to a request that no target answered. If the request has not run, the
 /// response asks the caller to retry after `retry_delay`.
 pub(super) fn refusal_response(
--- a/lib/src/forward/answer.rs
+++ b/lib/src/forward/answer.rs
@@ -1,5 +1,6 @@
 //! Classification of a target's response by its status and headers.
 
+use crate::placement::Notice;
 use strum::{Display, IntoStaticStr};
 
 /// Whether a response carries the identifier of the request that was sent.
@@ -28,6 +29,8 @@
     pub encoded: bool,
     /// Whether the body is a stream of server-sent events.
     pub event_stream: bool,
+    /// What the response says about further requests to its target.
+    pub notice: Notice,
 }
 
 /// Meaning of a response for the request.
--- a/lib/src/forward/failure.rs
+++ b/lib/src/forward/failure.rs
@@ -12,6 +12,8 @@
     NoTarget,
     /// All targets of the service are at capacity, or the retry budget is exhausted.
     Overloaded,
+    /// All targets of the service have asked for no requests for some time.
+    Paused,
     /// A part of the prompt is quarantined because it crashes targets.
     Quarantined,
     /// All targets that were tried refused the request before it ran.
--- a/lib/src/placement/choice.rs
+++ b/lib/src/placement/choice.rs
@@ -2,7 +2,10 @@
 
 use super::TargetLoad;
 use crate::ids::{TargetId, Tokens};
-use std::{net::SocketAddr, time::SystemTime};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
 use strum::{Display, IntoStaticStr};
 
 /// Reason why no target was selected.
@@ -15,6 +18,9 @@
     /// already tried, too few engines have enough memory, or a latency-sensitive request would miss
     /// its objective.
     Full,
+    /// All untried targets have asked for no requests; the first of them may get one after this
+    /// time.
+    Paused(Duration),
 }
 
 /// The target selected for a request.
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod load;
 mod member;
+mod notices;
 mod oversized;
 mod pool;
 mod reports;
@@ -18,6 +19,7 @@
     health::{AttemptResult, Health},
     load::{LoadDelta, Stage, TargetLoad, Work, WorkId},
     member::{Member, MemberState},
+    notices::{Notice, NoticeEffect},
     pool::{Pool, PoolSummary},
     reports::{ConnectionId, ReportSource},
 };
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,8 +1,8 @@
 //! State of the targets of all services.
 
 use super::{
-    AttemptResult, ConnectionId, LoadDelta, Member, MemberState, ReportSource, TargetLoad, Work,
-    WorkId, reports::Reports, target::Target,
+    AttemptResult, Choice, ConnectionId, LoadDelta, Member, MemberState, Notice, NoticeEffect,
+    ReportSource, TargetLoad, Work, WorkId, notices::Notices, reports::Reports, target::Target,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
@@ -21,6 +21,7 @@
     pub(super) targets: BTreeMap<TargetId, Target>,
     pub(super) reports: Reports,
     pub(super) excluded_zones: BTreeSet<ZoneId>,
+    pub(super) notices: Notices,
     last_id: WorkId,
 }
 
@@ -45,6 +46,7 @@
             targets: BTreeMap::new(),
             reports: Reports::default(),
             excluded_zones: BTreeSet::new(),
+            notices: Notices::default(),
             last_id: 0,
         }
     }
@@ -122,6 +124,25 @@
         loads
     }
 
+    /// Records what a response of the target of `choice` says about further requests, and returns
+    /// the effect if it is a new one.
+    pub fn record_notice(
+        &mut self,
+        choice: &Choice,
+        notice: Notice,
+        now: Instant,
+    ) -> Option<NoticeEffect> {
+        self.notices.record(&choice.target, choice.started_at, notice, now)
+    }
+
+    /// Returns whether the target of `choice` wants requests at `now`, which may have changed since
+    /// it was selected.
+    pub fn wants_requests(&self, choice: &Choice, now: Instant) -> bool {
+        let Choice { target, started_at, .. } = choice;
+        !self.notices.is_leaving(target, *started_at)
+            && self.notices.pause(target, *started_at, now).is_none()
+    }
+
     /// Records that a request is sent to `target`; returns `None` if the pool has no such target.
     pub fn begin_request(&mut self, target: &str, work: Work, now: Instant) -> Option<WorkId> {
         let state = self.targets.get_mut(target)?;
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -34,7 +34,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PlacementError::NoTarget`] if no untried target is usable, or
+    /// Returns [`PlacementError::NoTarget`] if no untried target is usable,
+    /// [`PlacementError::Paused`] if all of them want no requests for some time, or
     /// [`PlacementError::Full`] if no usable target can accept the request now or a
     /// latency-sensitive request that is not overdue would miss its objective.
     pub fn choose(
@@ -48,9 +49,14 @@
     ) -> Result<Choice, PlacementError> {
         self.reports.expire(now);
         let usable = self.usable(service, tried, backoff, entries, now);
-        if usable.iter().all(|candidate| tried.contains(candidate.id)) {
+        let mut untried =
+            usable.iter().filter(|candidate| !tried.contains(candidate.id)).peekable();
+        if untried.peek().is_none() {
             return Err(PlacementError::NoTarget);
         }
+        if let Some(pause) = untried.map(|candidate| candidate.pause).min().flatten() {
+            return Err(PlacementError::Paused(pause));
+        }
         let latency_sensitive =
             usable.iter().map(|candidate| candidate.load.latency_sensitive).sum::<u32>() + 1;
         let engine = service.engine.as_ref();
@@ -96,13 +102,14 @@
         now: Instant,
     ) -> Vec<Candidate<'_>> {
         let targets =
-            self.targets.iter().filter(|(_, target)| self.is_usable(target, service, now));
+            self.targets.iter().filter(|(id, target)| self.is_usable(id, target, service, now));
         let mut usable: Vec<_> = targets
             .map(|(id, target)| {
                 let in_backoff = backoff == Backoff::Respect && target.health.in_backoff(now);
                 let may_start = target.allows_start(service, &self.start_bound, entries, now);
-                let available = !in_backoff && may_start && !tried.contains(id);
-                Candidate { id, target, load: self.load(id, target, now), available }
+                let pause = self.notices.pause(id, target.member.started_at, now);
+                let available = !in_backoff && may_start && pause.is_none() && !tried.contains(id);
+                Candidate { id, target, load: self.load(id, target, now), available, pause }
             })
             .collect();
         usable.sort_by_key(|candidate| candidate.target.order_key);
@@ -163,9 +170,10 @@
         choice
     }
 
-    fn is_usable(&self, target: &Target, service: &Service, now: Instant) -> bool {
+    fn is_usable(&self, id: &str, target: &Target, service: &Service, now: Instant) -> bool {
         target.member.service == service.id
             && target.member.state == MemberState::Ready
+            && !self.notices.is_leaving(id, target.member.started_at)
             && !self.excluded_zones.contains(&target.member.zone)
             && (target.missing_since.is_none() || target.is_in_grace(now))
     }
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -85,9 +85,11 @@
     pub(super) id: &'a TargetId,
     pub(super) target: &'a Target,
     pub(super) load: TargetLoad,
-    /// Whether the target was not tried yet, is not skipped for its back-off, and may get another
-    /// request within its start rate.
+    /// Whether the target was not tried yet, is not skipped for its back-off, wants requests, and may
+    /// get another one within its start rate.
     pub(super) available: bool,
+    /// Time for which the target wants no requests.
+    pub(super) pause: Option<Duration>,
 }
 
 impl Candidate<'_> {
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -7,6 +7,7 @@
         Call, EventBuffer, EventError, Failure, FailureOutcome, RequestMatch, ResponseHead, Unsent,
         Verdict,
     },
+    placement::Notice,
     request::Deadline,
     routes::RetryPolicy,
 };
@@ -68,6 +69,7 @@
         not_run: false,
         encoded: false,
         event_stream: false,
+        notice: Notice::default(),
     }
 }
 
--- a/lib/tests/placement/main.rs
+++ b/lib/tests/placement/main.rs
@@ -3,5 +3,6 @@
 mod availability;
 mod choice;
 mod fixture;
+mod notices;
 mod oversized;
 mod peers;
