lib: cover pauses in the model of the load

The new error of a choice made the match in lib/tests/load not exhaustive, so that its tests did not compile; a pause counts as a refusal there, as the other errors do.

--- a/lib/tests/load/fleet.rs
+++ b/lib/tests/load/fleet.rs
@@ -147,7 +147,7 @@
         let result = pool.choose(&self.service, &profile, &[], Backoff::Respect, entries, now);
         let choice = match result {
             Ok(choice) => choice,
-            Err(PlacementError::Full | PlacementError::NoTarget) => {
+            Err(PlacementError::Full | PlacementError::NoTarget | PlacementError::Paused(_)) => {
                 self.outcomes.entry(kind).or_default().push(Outcome::Refused);
                 return;
             }
