--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -89,8 +89,6 @@
 pub(super) struct Suspicion {
     /// Sum of the weights of the crashes that count.
     pub(super) weight: u32,
-    /// Number of crashes that count.
-    pub(super) crashes: usize,
     /// Time of the first crash.
     pub(super) first_at: Instant,
     last_counted: Option<Instant>,
@@ -100,7 +98,7 @@
 
 impl Suspicion {
     fn new(first_at: Instant) -> Self {
-        Self { weight: 0, crashes: 0, first_at, last_counted: None, companions: PartSet::new() }
+        Self { weight: 0, first_at, last_counted: None, companions: PartSet::new() }
     }
 
     fn add(&mut self, at: Instant, weight: u32, suspects: &PartSet) {
@@ -112,7 +110,6 @@
             self.last_counted.is_some_and(|last| at.saturating_duration_since(last) < MIN_SPACING);
         if !is_near {
             self.weight += weight;
-            self.crashes += 1;
             self.last_counted = Some(at);
         }
     }
@@ -185,8 +182,8 @@
         suspicions
     }
 
-    /// Returns the number of crashes since `since`, where those of the same time count as one.
-    pub(super) fn count_since(&self, since: Instant) -> usize {
+    /// Returns the weight of the crashes since `since` for a part that is suspected of all of them.
+    pub(super) fn weight_since(&self, since: Instant) -> u32 {
         let recent = self.crashes.values().map(|crash| crash.at).filter(|at| *at >= since);
         let times: BTreeSet<Instant> = recent.collect();
         let mut count = 0;
@@ -196,7 +193,7 @@
                 (count, last) = (count + 1, Some(at));
             }
         }
-        count
+        count * BEGUN_WEIGHT
     }
 
     /// Returns the parts of requests whose answers had begun in the crash `id`.
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -36,7 +36,7 @@
 /// Share of all crashes since the first one that a part must be suspected of, unless it has crashed
 /// twice as many targets as otherwise needed. When many targets crash for another reason, some parts
 /// are in several of the crashes by chance.
-const MIN_CRASH_SHARE: f64 = 0.25;
+const MIN_CRASH_SHARE: f64 = 0.3;
 
 /// Maximum number of holds; the oldest are released first.
 const MAX_HOLDS: usize = 256;
@@ -319,8 +319,8 @@
     }
 
     fn is_proved(&self, suspicion: &Suspicion) -> bool {
-        let Suspicion { weight, crashes, first_at, .. } = *suspicion;
-        let share = crashes as f64 / self.evidence.count_since(first_at).max(1) as f64;
+        let Suspicion { weight, first_at, .. } = *suspicion;
+        let share = f64::from(weight) / f64::from(self.evidence.weight_since(first_at).max(1));
         weight >= CONVICTION_WEIGHT
             && (share >= MIN_CRASH_SHARE || weight >= 2 * CONVICTION_WEIGHT)
             && self.has_other_answers(first_at)
