--- /dev/null
+++ b/gateway/src/serve/in_flight.rs
@@ -0,0 +1,121 @@
+//! Load of a request in flight, as the pool of targets counts it.
+
+use super::handle::RequestContext;
+use crate::{gateway::Gateway, leases::HeldLeases};
+use fulmarhead_lib::{
+    forward::Progress,
+    ids::TargetId,
+    placement::{AttemptResult, Choice, Work, WorkId},
+};
+use std::{sync::Arc, time::Instant};
+
+/// Prefill time of a whole prompt, in milliseconds, from which the other entries are notified of
+/// the request immediately: such a prefill lengthens a pass of the engine so much that the other
+/// streams of its target fall behind.
+const LONG_PREFILL_MS: f64 = 15.0;
+
+/// The load of a request on its target and helpers, recorded in the pool until this is dropped.
+/// Dropping it also releases the leases of the request.
+pub(super) struct InFlightWork {
+    gateway: Arc<Gateway>,
+    target: TargetId,
+    work_id: Option<WorkId>,
+    /// Helpers that only compute a part of the prefill; their work ends with the first byte of the
+    /// response.
+    prefill_helpers: Vec<(TargetId, WorkId)>,
+    /// Helpers that hold a part of the KV cache; their work ends with the request.
+    cache_holders: Vec<(TargetId, WorkId)>,
+    pub(super) leases: HeldLeases,
+    pub(super) started_at: Instant,
+    /// Whether the target has sent its first bytes.
+    has_responded: bool,
+    progress: Progress,
+    result: AttemptResult,
+}
+
+impl InFlightWork {
+    pub(super) fn begin(context: &RequestContext, choice: &Choice, leases: HeldLeases) -> Self {
+        let gateway = Arc::clone(&context.gateway);
+        let now = gateway.clock.now();
+        let mut state = gateway.state();
+        let held_tokens = choice.helpers.iter().map(|helper| helper.held_tokens).sum();
+        let work =
+            Work::new(&context.profile, choice.prefill_ms, now).excluding_tokens(held_tokens);
+        let work_id = state.pool.begin_request(&choice.target, work, now);
+        let (mut prefill_helpers, mut cache_holders) = (Vec::new(), Vec::new());
+        for helper in &choice.helpers {
+            let (list, helper_work) = match helper.held_tokens {
+                0 => (
+                    &mut prefill_helpers,
+                    Work::for_helper(&context.profile, choice.prefill_ms, now),
+                ),
+                tokens => (
+                    &mut cache_holders,
+                    Work::for_holder(&context.profile, tokens, choice.prefill_ms, now),
+                ),
+            };
+            let id = state.pool.begin_helper(&helper.target, helper_work);
+            list.extend(id.map(|id| (helper.target.clone(), id)));
+        }
+        drop(state);
+        if choice.prefill_ms * (1 + choice.helpers.len()) as f64 >= LONG_PREFILL_MS {
+            gateway.notify_peers();
+        }
+        let (target, result) = (choice.target.clone(), AttemptResult::Abandoned);
+        Self {
+            gateway,
+            target,
+            work_id,
+            prefill_helpers,
+            cache_holders,
+            leases,
+            started_at: now,
+            has_responded: false,
+            progress: Progress::Waiting,
+            result,
+        }
+    }
+
+    /// Records that the target sent bytes. The first bytes show that the prefill is complete.
+    pub(super) fn record_activity(&mut self) {
+        let now = self.gateway.clock.now();
+        let mut state = self.gateway.state();
+        state.pool.record_activity(&self.target, now);
+        let Some(id) = self.work_id.filter(|_| !self.has_responded) else { return };
+        self.has_responded = true;
+        state.pool.record_first_event(&self.target, id);
+        for (target, id) in self.prefill_helpers.drain(..) {
+            state.pool.end_helper(&target, id);
+        }
+        for (target, id) in &self.cache_holders {
+            state.pool.record_first_event(target, *id);
+        }
+    }
+
+    /// Returns how much of the answer has arrived.
+    pub(super) fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Records how much of the answer has arrived.
+    pub(super) fn set_progress(&mut self, progress: Progress) {
+        self.progress = progress;
+    }
+
+    /// Sets the result to report when the work ends; `Abandoned` if it is never set.
+    pub(super) fn set_result(&mut self, result: AttemptResult) {
+        self.result = result;
+    }
+}
+
+impl Drop for InFlightWork {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        let mut state = self.gateway.state();
+        state.pool.end_request(&self.target, self.work_id, self.result, now);
+        for (target, id) in self.prefill_helpers.drain(..).chain(self.cache_holders.drain(..)) {
+            state.pool.end_helper(&target, id);
+        }
+        drop(state);
+    }
+}
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod buffered;
 mod events;
 mod handle;
+mod in_flight;
 mod listener;
 mod record;
 mod refusal;
--- /dev/null
+++ b/lib/src/quarantine/detection.rs
@@ -0,0 +1,121 @@
+//! Detection of the parts that crash targets.
+
+use super::{
+    Detection, PartSet, Quarantine,
+    evidence::{BEGUN_WEIGHT, Suspicion},
+    registry::MAX_HOLDS,
+};
+use crate::ids::PromptPartId;
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Weight of the evidence at which a part is quarantined: four crashes in a row of targets that had
+/// begun to answer a request with the part, and no answer in between.
+const CONVICTION_WEIGHT: u32 = 8;
+
+/// Weight of the evidence from which a request that lost its target is not sent to another one: two
+/// crashes of targets that had begun to answer a request with the part.
+const SUSPICION_WEIGHT: u32 = 4;
+
+/// Time without any answer to a request with a part from which the part can be suspected. A part
+/// that many sound requests share is answered all the time, also while targets crash.
+const MIN_SILENCE: Duration = Duration::from_secs(2);
+
+/// Number of answers to requests without a part that must have come since its first crash. If
+/// nothing is answered at all, the targets have another problem than that part.
+pub(super) const MIN_OTHER_ANSWERS: usize = 2;
+
+/// Share of all crashes since the first one that a part must be suspected of, unless it has crashed
+/// twice as many targets as otherwise needed. When many targets crash for another reason, some parts
+/// are in several of the crashes by chance.
+const MIN_CRASH_SHARE: f64 = 0.3;
+
+impl Quarantine {
+    /// Returns whether a part of `parts` has crashed so many targets in a row that a request which
+    /// lost its target should not be sent to another one.
+    pub fn is_suspected(&self, parts: &[PromptPartId], now: Instant) -> bool {
+        let suspicions = self.suspicions(now);
+        let weights = parts.iter().filter_map(|part| suspicions.get(part)).map(|it| it.weight);
+        weights.max().unwrap_or(0) >= SUSPICION_WEIGHT
+    }
+
+    /// Returns the strongest evidence against a part, as a number of crashes of targets that had
+    /// begun to answer.
+    pub fn strongest_suspicion(&self, now: Instant) -> f64 {
+        let weights = self.suspicions(now).into_values().map(|suspicion| suspicion.weight);
+        f64::from(weights.max().unwrap_or(0)) / f64::from(BEGUN_WEIGHT)
+    }
+
+    /// Quarantines the parts against which there is enough evidence, the most suspected first: the
+    /// crashes that they explain no longer count for others.
+    pub(super) fn detect(&mut self, now: Instant) -> Vec<Detection> {
+        let mut detections = Vec::new();
+        // The bound guards against holds that displace each other.
+        for _ in 0..MAX_HOLDS {
+            let Some(set) = self.strongest_suspects(now) else { break };
+            detections.push(self.hold(set, now, 1));
+        }
+        detections
+    }
+
+    /// Returns the most suspected parts if there is enough evidence against them and they are not
+    /// quarantined yet: several if they were in the same requests each time, so that the evidence
+    /// does not say which of them crashes targets.
+    fn strongest_suspects(&self, now: Instant) -> Option<PartSet> {
+        let suspicions = self.suspicions(now);
+        // Of equally suspected parts, one that sound requests share was answered last.
+        let rank = |part: &PromptPartId, suspicion: &Suspicion| {
+            (suspicion.weight, Reverse(self.answers.last(*part)))
+        };
+        let proved = suspicions.iter().filter(|(_, suspicion)| self.is_proved(suspicion));
+        let sets = proved.map(|(part, suspicion)| {
+            let strongest = rank(part, suspicion);
+            let is_equal = |other: &PromptPartId| {
+                suspicions.get(other).is_some_and(|other_suspicion| {
+                    rank(other, other_suspicion) == strongest
+                        && other_suspicion.companions.contains(part)
+                })
+            };
+            let set: PartSet = suspicion.companions.iter().copied().filter(is_equal).collect();
+            (strongest, set)
+        });
+        let new = sets.filter(|(_, set)| !self.is_covered(set));
+        new.max_by_key(|(strongest, _)| *strongest).map(|(_, set)| set)
+    }
+
+    fn is_proved(&self, suspicion: &Suspicion) -> bool {
+        let Suspicion { weight, first_at, .. } = *suspicion;
+        let share = f64::from(weight) / f64::from(self.evidence.weight_since(first_at).max(1));
+        weight >= CONVICTION_WEIGHT
+            && (share >= MIN_CRASH_SHARE || weight >= 2 * CONVICTION_WEIGHT)
+            && self.has_other_answers(first_at)
+    }
+
+    /// Returns whether all requests with the parts of `set` are held or on trial.
+    fn is_covered(&self, set: &PartSet) -> bool {
+        self.holds().any(|held| held.is_subset(set))
+    }
+
+    /// Returns the suspicions of parts that were not answered for some time.
+    fn suspicions(&self, now: Instant) -> BTreeMap<PromptPartId, Suspicion> {
+        let is_explained = |suspects: &PartSet, part: PromptPartId| {
+            self.holds().any(|held| !held.contains(&part) && held.is_subset(suspects))
+        };
+        let mut suspicions =
+            self.evidence.suspicions(|part| self.answers.last(part), is_explained, now);
+        suspicions.retain(|part, _| {
+            let last = self.answers.last(*part);
+            last.is_none_or(|at| now.saturating_duration_since(at) >= MIN_SILENCE)
+        });
+        suspicions
+    }
+
+    /// Returns whether enough requests were answered since `since`.
+    fn has_other_answers(&self, since: Instant) -> bool {
+        self.recent_answers.len() == MIN_OTHER_ANSWERS
+            && self.recent_answers.front().is_some_and(|at| *at >= since)
+    }
+}
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 //! refuse the part soon after a few crashes, whichever of them saw those.
 
 mod answers;
+mod detection;
 mod evidence;
 mod hold;
 mod news;
