gateway: count a stream that ends without any event as a loss, and update its metrics by time

That the target refuses connections tells it from a faulty one.

fulmarhead_suspect_part_crashes kept its last value after an answer had cleared the part; it is set every 250 ms now, with fulmarhead_quarantined_parts.

--- a/gateway/src/quarantine/gate.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -58,9 +58,7 @@
         for (loss, at) in losses {
             detections.extend(state.quarantine.record_loss(loss, at, now));
         }
-        let suspicion = state.quarantine.strongest_suspicion(now);
         drop(state);
-        metrics::gauge!("fulmarhead_suspect_part_crashes").set(suspicion);
         self.announce(detections);
         self.notify_peers();
     }
@@ -87,11 +85,19 @@
                 "quarantined parts of prompts that crash targets"
             );
         }
-        let held = self.state().quarantine.summary().held.len();
-        metrics::gauge!("fulmarhead_quarantined_parts").set(held as f64);
         self.quarantine_updates.send_modify(|count| *count += 1);
     }
 
+    /// Updates the metrics that change with time and with answers.
+    pub(crate) fn update_quarantine_metrics(&self) {
+        let state = self.state();
+        let suspicion = state.quarantine.strongest_suspicion(self.clock.now());
+        let held = state.quarantine.held_count();
+        drop(state);
+        metrics::gauge!("fulmarhead_suspect_part_crashes").set(suspicion);
+        metrics::gauge!("fulmarhead_quarantined_parts").set(held as f64);
+    }
+
     /// Records that a target accepts connections although it broke off an answer.
     pub(super) fn record_survival(&self, crash: &CrashId) {
         metrics::counter!("fulmarhead_targets_survived_total").increment(1);
--- a/gateway/src/quarantine/mod.rs
+++ b/gateway/src/quarantine/mod.rs
@@ -1,10 +1,10 @@
 //! Quarantine of prompt parts that crash targets: reports of lost requests, their confirmation, and
 //! the refusal of requests.
 
-mod gate;
+mod decisions;
 mod task;
 
 pub(crate) use self::{
-    gate::parts_text,
+    decisions::parts_text,
     task::{LossReceiver, LossSender, confirm_crashes},
 };
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -184,7 +184,8 @@
     record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
     buffer.discard_partial();
     let mut call = call.record_lost();
-    if failure == Failure::ConnectionLost {
+    // A stream without a length ends without an error when its target crashes.
+    if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
         let parts = &context.head.shared_parts;
         context.gateway.report_loss(&choice, progress, parts);
         if progress == Progress::Begun && context.gateway.is_suspected(parts) {
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -32,7 +32,7 @@
 /// until SIGKILL.
 const ABORT_TIME_SHARE: f64 = 0.94;
 
-/// Interval at which the readiness of the gateway is updated.
+/// Interval at which the readiness of the gateway and the metrics of its quarantine are updated.
 const READINESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The bound listeners of a gateway.
@@ -126,6 +126,7 @@
 async fn update_readiness(gateway: &Gateway, serving: &Process<Serving>) {
     loop {
         serving.set_ready(gateway.is_ready());
+        gateway.update_quarantine_metrics();
         sleep(READINESS_INTERVAL).await;
     }
 }
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Returns the number of sets of parts with which no request is sent.
+    pub fn held_count(&self) -> usize {
+        self.held.len()
+    }
+
     /// Records an answer at `at`. Peers learn of it only if it clears the part of a crash or a hold.
     fn apply_answer(&mut self, part: PromptPartId, at: Instant) {
         let known = self.answers.get(part);
