--- a/entry/src/dispatch/attempt.rs
+++ b/entry/src/dispatch/attempt.rs
@@ -25,6 +25,8 @@
 pub(super) struct Attempt {
     pub(super) items: ItemStream,
     pub(super) inflight: InflightGuard,
+    /// Whether the target has sent an item.
+    pub(super) has_items: bool,
 }
 
 impl Attempt {
@@ -36,6 +38,7 @@
             () = self.inflight.entry.wait_target_lost(&self.inflight.target) => None,
         };
         self.inflight.awaiting_item = false;
+        self.has_items |= item.is_some();
         item
     }
 }
@@ -126,7 +129,7 @@
     headers.cost = cost;
     let response = post(entry, call, target, "/work/completions", headers, body.into()).await?;
     inflight.acknowledge();
-    Ok(Attempt { items: ItemStream::new(response.into_body()), inflight })
+    Ok(Attempt { items: ItemStream::new(response.into_body()), inflight, has_items: false })
 }
 
 /// Returns the headers for the current attempt of a request.
@@ -168,7 +171,7 @@
     // The engine already holds the memory of the stream.
     headers.cost = Cost::default();
     let response = post(entry, call, target, "/work/completions", headers, Bytes::new()).await?;
-    Ok(Attempt { items: ItemStream::new(response.into_body()), inflight })
+    Ok(Attempt { items: ItemStream::new(response.into_body()), inflight, has_items: false })
 }
 
 /// Posts work to the agent of `target` and returns its response.
--- a/entry/src/dispatch/completion.rs
+++ b/entry/src/dispatch/completion.rs
@@ -16,9 +16,21 @@
 };
 use log::{info, warn};
 use serde_json::Value;
-use std::{collections::BTreeMap, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::time::{sleep, timeout_at};
 
+/// Number of targets that may fail before they send the first item of an attempt. A prompt that
+/// crashes the engines which answer it must not be carried to further ones.
+const MAX_UNANSWERED_FAILURES: u32 = 2;
+
+/// Time for which the entry sends no requests of the same length class to a target that failed,
+/// about as long as a restart.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+
 /// Prompt and parameters in a caller's request.
 #[derive(Clone, Debug)]
 pub(crate) struct Prompt {
@@ -54,6 +66,8 @@
     team_priority: u8,
     /// Whether any earlier attempt may have run.
     possibly_run: bool,
+    /// Number of targets that failed before they sent an item.
+    unanswered_failures: u32,
     admitted_at: Instant,
     /// Time at which the first item was received.
     first_item: Option<Instant>,
@@ -81,6 +95,7 @@
         Self {
             team_priority: call.priority,
             possibly_run: false,
+            unanswered_failures: 0,
             search,
             entry,
             request,
@@ -184,8 +199,9 @@
     /// Returns a refusal if the retry budget allows no further attempt.
     fn handle_interruption(&mut self) -> Result<(), Refusal> {
         let failed = Refusal::failed(Reason::TargetFailed);
-        let target =
-            self.current_attempt.take().map(|current| current.attempt.inflight.target().to_owned());
+        let attempt = self.current_attempt.take().map(|current| current.attempt);
+        let is_unanswered = attempt.as_ref().is_some_and(|attempt| !attempt.has_items);
+        let target = attempt.map(|attempt| attempt.inflight.target().to_owned());
         let target = target.unwrap_or_default();
         let attempt = self.request.attempt();
         warn!(
@@ -193,16 +209,27 @@
             target_id = target, position = attempt.position;
             "stream broke off"
         );
+        self.possibly_run = true;
+        self.exclude_for(&target, FAILURE_BACKOFF);
+        if is_unanswered && !self.may_fail_again() {
+            return Err(failed);
+        }
         if !self.entry.state().retry_budget.try_withdraw() {
             return Err(failed);
         }
-        self.possibly_run = true;
         self.search.restart(self.entry.clock.now());
         self.rounds.record_failed_attempt(&target, failed);
         self.request.cursor().next_attempt();
         Ok(())
     }
 
+    /// Counts a target that failed before it sent an item, and returns whether the request may be
+    /// sent to another one.
+    fn may_fail_again(&mut self) -> bool {
+        self.unanswered_failures += 1;
+        self.unanswered_failures < MAX_UNANSWERED_FAILURES
+    }
+
     /// Sends attempts until a target accepts the request.
     async fn start_attempt(&mut self) -> Result<ActiveAttempt, Refusal> {
         if let Some(attempt) = self.resume().await {
@@ -281,10 +308,16 @@
 
     /// Records how long a target refuses, so that other requests of the length class skip it.
     fn record_target_refusal(&self, destination: &Destination, refusal: &Refusal) {
-        let (Destination::OneEngine(target), Some(delay)) = (destination, refusal.retry_after)
-        else {
-            return;
-        };
+        let may_have_run = refusal.outcome != Outcome::NotRun;
+        let has_failed = refusal.reason == Reason::TargetFailed && may_have_run;
+        let delay = refusal.retry_after.or(has_failed.then_some(FAILURE_BACKOFF));
+        if let (Destination::OneEngine(target), Some(delay)) = (destination, delay) {
+            self.exclude_for(target, delay);
+        }
+    }
+
+    /// Excludes a target from requests of the length class for `delay`.
+    fn exclude_for(&self, target: &str, delay: Duration) {
         let until = self.entry.clock.now() + delay;
         let class = self.request.cost.class();
         self.entry.state().targets.directory.record_refusal(target, class, until);
@@ -306,6 +339,9 @@
             return Err(refusal);
         }
         let failed = refusal.reason == Reason::TargetFailed;
+        if failed && refusal.outcome != Outcome::NotRun && !self.may_fail_again() {
+            return Err(refusal);
+        }
         if failed && !self.entry.state().retry_budget.try_withdraw() {
             return Err(refusal);
         }
--- a/local/tests/processes/main.rs
+++ b/local/tests/processes/main.rs
@@ -4,6 +4,7 @@
 //! engines still hold. All of them are in one test program, so that they share the machine's cores.
 
 mod configuration;
+mod crashes;
 mod load;
 mod malformed;
 mod orders;
--- a/standins/src/engine/http/streams.rs
+++ b/standins/src/engine/http/streams.rs
@@ -30,6 +30,10 @@
     State(engine): State<Arc<Engine>>,
     Json(call): Json<CompletionRequest>,
 ) -> Result<Response, EngineError> {
+    if engine.read(|state| state.settings.crashes_at(&call.prompt)) {
+        engine.restart();
+        return Err(EngineError::Restarted);
+    }
     let prompt = Prompt::read(&call.prompt, call.previous.as_deref());
     let handle = engine.change(|state| state.start_completion(&call, prompt))?;
     Ok(Sse::new(Reader::new(engine, handle, call.position).into_events()).into_response())
--- a/standins/src/engine/settings.rs
+++ b/standins/src/engine/settings.rs
@@ -43,6 +43,8 @@
     pub cold: ColdSettings,
     /// How long the engine is unavailable when it restarts.
     pub restart_time: Duration,
+    /// Text of prompts at which the engine restarts, as an injected fault.
+    pub crash_text: Option<String>,
 }
 
 impl Default for EngineSettings {
@@ -66,11 +68,17 @@
             weight_store: None,
             cold: ColdSettings::default(),
             restart_time: Duration::from_millis(500),
+            crash_text: None,
         }
     }
 }
 
 impl EngineSettings {
+    /// Returns whether the engine restarts at `prompt`.
+    pub(super) fn crashes_at(&self, prompt: &str) -> bool {
+        self.crash_text.as_ref().is_some_and(|text| prompt.contains(text))
+    }
+
     /// Returns the duration of the prefill of `tokens` tokens.
     pub(super) fn prefill_time(&self, tokens: Tokens) -> Duration {
         Duration::from_secs_f64(tokens as f64 / self.prefill_rate.max(1) as f64)
--- a/testutils/src/process/plan.rs
+++ b/testutils/src/process/plan.rs
@@ -23,6 +23,8 @@
     pub prefill_rate: Tokens,
     /// Duration of a decode step with one stream.
     pub decode_time: Duration,
+    /// Text of prompts at which each engine restarts.
+    pub crash_text: Option<String>,
     /// Execution time of one application call.
     pub service_time: Duration,
     /// Time after SIGTERM during which an entry still accepts new requests.
@@ -41,6 +43,7 @@
             kv_total: 50_000,
             prefill_rate: 400_000,
             decode_time: Duration::from_millis(5),
+            crash_text: None,
             service_time: Duration::from_millis(10),
             drain_time: Duration::from_secs(1),
             stop_timeout: Duration::from_secs(20),
--- a/testutils/src/process/start.rs
+++ b/testutils/src/process/start.rs
@@ -104,13 +104,14 @@
 
     fn start_targets(&mut self) -> Result<(), FleetError> {
         for (_, id) in self.plan.engine_ids() {
-            let flags = vec![
+            let mut flags = vec![
                 flag("address", self.addresses[&id]),
                 flag("models", super::MODEL),
                 flag("kv-total", self.plan.kv_total),
                 flag("prefill-rate", self.plan.prefill_rate),
                 flag("decode-micros", self.plan.decode_time.as_micros()),
             ];
+            flags.extend(self.plan.crash_text.iter().map(|text| flag("crash-text", text)));
             self.start_process(&id, Program::Engine, flags)?;
         }
         for (_, id) in self.plan.worker_ids() {
