review: play three more ways past the quarantine with the script of case 1

Cause: IDs of more than 64 bits and workers that end after their first event escape the quarantine as well; they are variants of one case rather than cases of their own.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,9 @@
 
 Two gateways, six engines, each back 3 s after a crash. Long conversations, of 20 parts, share their
 first ones; in a few of them the part before the last is deadly. With TROUBLE=0 it crashes nothing.
-PARTS sets the number of parts of the deadly conversations.
+
+For a look beyond the case: PARTS sets the number of parts of the deadly conversations (20), DIGITS the
+number of digits of a part's ID (8), WRITTEN the events that a worker writes before it ends (0).
 """
 
 import asyncio
@@ -12,17 +14,19 @@
 sys.path.insert(0, "../standins")
 from fleet import CONTACT_S, ENGINES, Worker, run_case  # noqa: E402
 
-DEADLY = "dead50a7"
 PARTS = int(os.environ.get("PARTS", "20"))
+DIGITS = int(os.environ.get("DIGITS", "8"))
+WRITTEN = int(os.environ.get("WRITTEN", "0"))
+DEADLY = "dead50a7".ljust(DIGITS, "7")
 SOUND_INTERVAL_S, DEADLY_INTERVAL_S, LENGTH_S, DOWN_S = 0.1, 1.0, 45, 3.0
 
 
 def prompt(own, parts, deadly):
     """Returns the headers of a conversation of `parts` parts, the last of which is its own."""
-    turns = [f"{0x5c1e0000 + number:08x}:40" for number in range(parts - 1)]
+    turns = [f"{0x5c1e0000 + number:08x}".ljust(DIGITS, "7") + ":40" for number in range(parts - 1)]
     if deadly:
         turns[-1] = f"{DEADLY}:40"
-    turns.append(f"{own:08x}:60")
+    turns.append(f"{own:08x}".ljust(DIGITS, "7") + ":60")
     return {"X-Fulmarhead-Model": "m", "X-Fulmarhead-Token-Usage": f"{40 * parts + 20},400",
             "X-Fulmarhead-Prefix-Hash": ",".join(turns)}
 
@@ -38,7 +42,7 @@
 
 
 async def case(fleet, trouble):
-    deadly = {"deadly": DEADLY} if trouble else {}
+    deadly = {"deadly": DEADLY, "deadly_after": WRITTEN} if trouble else {}
     zones = ["qc-est-a", "qc-est-b", "qc-est-c"]
     workers = [Worker(fleet, f"e{n}", ENGINES, zones[n % 3], **deadly) for n in range(6)]
     await fleet.start(["qc-est-a", "qc-est-b"], workers)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -194,14 +194,25 @@
     up and new connections hang; they go on when the cut has healed."""
 
     def __init__(self, port):
-        self.target = port
+        self.target, self.port = port, 0
         self.passes = asyncio.Event()
         self.passes.set()
+        self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def refuse(self):
+        """Cuts the link in the way that resets open connections and refuses new ones."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def accept(self):
+        """Heals the link after `refuse`."""
+        await self.start()
+
     def cut(self):
         self.passes.clear()
 
@@ -209,6 +220,7 @@
         self.passes.set()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         await self.passes.wait()
         try:
             there_reader, there_writer = await asyncio.open_connection("127.0.0.1", self.target)
@@ -226,6 +238,7 @@
         except ConnectionError:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -364,18 +377,17 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def start(self, zones, workers):
-        """Starts a store, a gateway in each of `zones`, and `workers`."""
+    async def start(self, zones, workers, spread=True):
+        """Starts a store, a gateway in each of `zones`, and `workers`. `spread` says whether the
+        heartbeats of the workers are spread over their interval."""
         self.store = Store()
         await self.store.start()
         await self.store.put("op/config", config())
         self.workers = workers
         for worker in workers:
             await worker.start()
-        # Heartbeats of the workers are spread over their interval.
         for number, worker in enumerate(workers):
-            worker.phase = HEARTBEAT_S * number / len(workers)
-            self.spawn(worker.keep_listed(worker.phase))
+            self.spawn(worker.keep_listed(HEARTBEAT_S * number / len(workers) if spread else 0))
         for zone in zones:
             link = Link(self.store.port)
             await link.start()
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -12,6 +12,9 @@
   work_ms                      duration of a call of an application
   deadly                       part of a prompt that crashes this worker when it begins to write
   deadly_after                 events that are written before that crash
+  junk                         share of the streams, once the worker is in trouble, in which bytes that
+                               are no answer follow the third event without end, until the caller
+                               closes
 """
 
 import asyncio
@@ -25,6 +28,9 @@
 # Headers that a worker which leaves adds to each answer; SIGUSR1 says that it leaves.
 LEAVING = {}
 signal.signal(signal.SIGUSR1, lambda *_: LEAVING.update({"Server-Leaving": "1"}))
+# SIGUSR2 says that the worker is in trouble.
+TROUBLE = []
+signal.signal(signal.SIGUSR2, lambda *_: TROUBLE.append(True))
 
 
 def say(what, **fields):
@@ -58,6 +64,7 @@
     chunked = OPTIONS.get("framing", "chunked") == "chunked"
     parts = [entry.split(":")[0] for entry in headers.get("x-fulmarhead-prefix-hash", "").split(",")]
     deadly = OPTIONS.get("deadly") in parts
+    spoiled = bool(TROUBLE) and int(request[:4] or "0", 16) / 0x10000 < OPTIONS.get("junk", 0)
     answer = {
         "X-Fulmarhead-Attempt-Id": request,
         "X-Fulmarhead-Response-Signature": f"{NAME}.{request}",
@@ -78,6 +85,10 @@
         if deadly and number > last + OPTIONS.get("deadly_after", 0):
             await asyncio.sleep(0.01)
             crash(request)
+        if spoiled and number > last + 3:
+            say("spoils", request=request)
+            await junk(writer, chunked)
+            return
         event = f"id: {number}\ndata: piece {number}\n\n".encode()
         writer.write(b"%x\r\n%s\r\n" % (len(event), event) if chunked else event)
         await writer.drain()
@@ -90,6 +101,15 @@
     say("done", request=request)
 
 
+async def junk(writer, chunked):
+    """Sends lines of a log, which are no events of the stream, until the caller closes."""
+    line = b"worker: no memory for block 17, trying again\n\n"
+    while not writer.transport.is_closing():
+        writer.write(b"%x\r\n%s\r\n" % (len(line), line) if chunked else line)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+
+
 async def call(writer, request):
     await asyncio.sleep(OPTIONS.get("work_ms", 15) / 1e3)
     body = f"answer of {NAME} to {request}".encode()
