--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -277,6 +277,7 @@
     async def beat(self):
         """Writes the entry, as the worker does each heartbeat."""
         self.beats += 1
+        self.last_beat = time.monotonic()
         await self.fleet.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"127.0.0.1:{self.options['port']}",
             "zone": self.zone, "version": "v1", "batchSlots": 16, "state": "ready",
@@ -307,13 +308,13 @@
         """Starts the worker again some seconds after each crash."""
         while True:
             await self.process.wait()
-            gone = self.id
-            self.fleet.spawn(self.lapse(gone))
+            self.fleet.spawn(self.lapse(self.id, self.last_beat + 3 * HEARTBEAT_S))
             await asyncio.sleep(down_s)
             await self.start()
 
-    async def lapse(self, gone):
-        await asyncio.sleep(3 * HEARTBEAT_S)
+    async def lapse(self, gone, at):
+        """Removes the entry of a worker that is silent for three heartbeats."""
+        await asyncio.sleep(at - time.monotonic())
         await self.fleet.store.delete(f"servers/{gone}")
 
 
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -26,8 +26,8 @@
 OPTIONS = json.loads(sys.argv[1])
 NAME = OPTIONS["id"]
 # Headers that a worker which leaves adds to each answer; SIGUSR1 says that it leaves.
-LEAVING = {}
-signal.signal(signal.SIGUSR1, lambda *_: LEAVING.update({"Server-Leaving": "1"}))
+LEAVING, LEAVES = {}, {"Server-Leaving": "1", "Connection": "close"}
+signal.signal(signal.SIGUSR1, lambda *_: LEAVING.update(LEAVES))
 # SIGUSR2 says that the worker is in trouble.
 TROUBLE = []
 signal.signal(signal.SIGUSR2, lambda *_: TROUBLE.append(True))
@@ -130,7 +130,8 @@
         expected = headers.get("x-fulmarhead-expect-instance", NAME)
         if expected != NAME:
             say("misdirected", request=request, expected=expected)
-            writer.write(head(421, {"Content-Length": 0, "X-Fulmarhead-Not-Executed": "1"}))
+            writer.write(head(421, {"X-Fulmarhead-Attempt-Id": request, "Content-Length": 0,
+                                    "X-Fulmarhead-Not-Executed": "1"}))
             await writer.drain()
         elif path == "/fulmarhead/order":
             writer.write(head(200, {"Content-Length": 11}) + b'{"free":1} ')
