gateway, lib: pass on nothing but events in streams

Cause: what stands between two empty lines passed as an event and as progress; only lines that begin with "id:" were checked.

Blocks now splits a stream as the format of server-sent events defines it and alone decides what is an event. Comments and defined fields without an identifier wait for the next event or the end and are no progress; anything else ends the attempt, after the events before it were passed on. The same check broke off sound streams with carriage returns or with increasing, not consecutive identifiers, and lost a sound event that arrived together with bad bytes.

--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -36,10 +36,11 @@
 enum ReadOutcome {
     /// Complete events, encoded for the caller.
     Events(Vec<u8>),
-    /// The stream ended after at least one event, and no event is partial.
-    Complete,
-    /// The connection failed, there was no event, an event was partial or out of order, the target was silent, or the
-    /// deadline passed.
+    /// The stream ended after at least one event, and no event is partial. Holds what followed the
+    /// last event, encoded for the caller.
+    Complete(Vec<u8>),
+    /// The connection failed, there was no event, an event was partial or out of order, bytes were
+    /// no event, the target was silent, or the deadline passed.
     Interrupted(Failure),
 }
 
@@ -73,7 +74,10 @@
                         }
                         yield Ok(Bytes::from(events));
                     }
-                    ReadOutcome::Complete => {
+                    ReadOutcome::Complete(rest) => {
+                        if !rest.is_empty() {
+                            yield Ok(Bytes::from(rest));
+                        }
                         target_response.work.set_result(AttemptResult::Answered);
                         let (request, target) =
                             (&context.head.request_id, target_response.call.target());
@@ -127,6 +131,11 @@
     let last_activity = clock.now();
     let mut silence_end = last_activity + context.silence_timeout();
     loop {
+        // The events before the error have been passed on.
+        if let Some(error) = buffer.error() {
+            record::stream_rejected(&context.head, target_response.call.target(), error);
+            return ReadOutcome::Interrupted(Failure::BadAnswer);
+        }
         let remaining = target_response.call.deadline().remaining(clock.now());
         // Bytes that complete no event do not end the silence.
         let wait = silence_end.saturating_duration_since(clock.now());
@@ -142,7 +151,7 @@
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return ReadOutcome::Interrupted(Failure::ConnectionLost),
             Ok(None) if buffer.is_complete() && buffer.last_event().is_some() => {
-                return ReadOutcome::Complete;
+                return ReadOutcome::Complete(buffer.take_rest());
             }
             Ok(None) => return ReadOutcome::Interrupted(Failure::BadAnswer),
             Err(_) if remaining <= wait => return ReadOutcome::Interrupted(Failure::Timeout),
@@ -155,10 +164,9 @@
                 continue;
             }
         };
-        match buffer.push(&frame_data(frame)) {
-            Ok(events) if events.is_empty() => {}
-            Ok(events) => return ReadOutcome::Events(events),
-            Err(_) => return ReadOutcome::Interrupted(Failure::BadAnswer),
+        let events = buffer.push(&frame_data(frame));
+        if !events.is_empty() {
+            return ReadOutcome::Events(events);
         }
     }
 }
@@ -182,7 +190,7 @@
     let progress = work.progress();
     drop(work);
     record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
-    buffer.discard_partial();
+    buffer.resume();
     let mut call = call.record_lost();
     // A stream without a length ends without an error when its target crashes.
     if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
@@ -197,7 +205,7 @@
             return None;
         }
         match run_attempt(context, call, buffer.last_event()).await {
-            Ok(next) if next.head.event_stream && next.head.is_success() => return Some(next),
+            Ok(next) if context.is_stream(&next.head) => return Some(next),
             Ok(_) => return None,
             Err(failed) if failed.failure == Failure::ConnectionLost => call = failed.call,
             Err(_) => return None,
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -9,7 +9,7 @@
 use crate::gateway::{Gateway, SelectError};
 use bytes::Bytes;
 use fulmarhead_lib::{
-    forward::{Call, Failure, FailureOutcome, Unsent},
+    forward::{Call, Failure, FailureOutcome, ResponseHead, Unsent},
     placement::RequestProfile,
     request::Deadline,
     routes::{Denial, RouteMatch, RouteTable, Service},
@@ -106,6 +106,12 @@
         self.gateway.clock.now().saturating_duration_since(self.received_at)
     }
 
+    /// Returns whether the response is a stream whose events are passed on as they arrive. Others
+    /// are passed on when they are complete.
+    pub(super) fn is_stream(&self, response: &ResponseHead) -> bool {
+        self.streaming && response.event_stream && response.is_success()
+    }
+
     /// Returns how long the target may send nothing before the request may be retried at another
     /// one.
     pub(super) fn silence_timeout(&self) -> Duration {
@@ -234,7 +240,7 @@
     let last_event = context.head.last_event;
     loop {
         let failed = match run_attempt(&context, call, last_event).await {
-            Ok(target_response) if target_response.head.event_stream => {
+            Ok(target_response) if context.is_stream(&target_response.head) => {
                 return events::stream_response(context, target_response);
             }
             Ok(target_response) => match buffered::buffer_response(&context, target_response).await
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -2,7 +2,7 @@
 
 use crate::quarantine::parts_text;
 use fulmarhead_lib::{
-    forward::{FailureOutcome, Progress, Verdict},
+    forward::{EventError, FailureOutcome, Progress, Verdict},
     placement::{Choice, RequestProfile},
     quarantine::Refusal,
 };
@@ -108,6 +108,17 @@
     info!(target: "decision", request, reason, version; "request denied by the configuration");
 }
 
+/// Records that the rest of a target's stream is not passed on, because of `error`.
+pub(super) fn stream_rejected(head: &RequestHead, target: &str, error: EventError) {
+    let kind = <&'static str>::from(error);
+    metrics::counter!("fulmarhead_rejected_streams_total", "error" => kind).increment(1);
+    let request = &*head.request_id;
+    info!(
+        target: "decision", request, backend = target, error:%;
+        "rejected the rest of a target's stream"
+    );
+}
+
 /// Records an event stream that ended early and that no target resumed.
 pub(super) fn response_interrupted(
     request: &str,
--- a/lib/src/forward/events.rs
+++ b/lib/src/forward/events.rs
@@ -1,95 +1,124 @@
-//! Splits a stream of server-sent events, which can end at any byte, into complete events.
+//! Events of a stream and their order, also where the stream goes on at another target.
 
-const EVENT_DELIMITER: &[u8] = b"\n\n";
-
-/// Maximum size of an event, in bytes, far above that of the tokens of one pass of an engine.
-pub const MAX_EVENT_BYTES: usize = 256 << 10;
+use super::blocks::{Blocks, MAX_EVENT_BYTES};
+use crate::ids::StreamEventId;
+use strum::IntoStaticStr;
 
 /// Error in a stream of events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr, thiserror::Error)]
+#[strum(serialize_all = "snake_case")]
 pub enum EventError {
     /// An event is missing or duplicated.
     #[error("event {found} is out of order after event {last}")]
     OutOfOrder {
         /// Identifier of the last event that was in order.
-        last: u64,
+        last: StreamEventId,
         /// Identifier of the event that was received.
-        found: u64,
+        found: StreamEventId,
     },
+    /// The target sent something else than events with identifiers.
+    #[error("bytes are no event")]
+    NotAnEvent,
     /// An event is larger than [`MAX_EVENT_BYTES`], or never ends.
     #[error("event is larger than {MAX_EVENT_BYTES} bytes")]
     TooLarge,
 }
 
-/// Buffer that yields complete events of a stream and checks that their identifiers are
-/// consecutive.
+/// How the identifiers of a stream increase, as far as its events show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Numbering {
+    /// No two events in a row are known.
+    #[default]
+    Unknown,
+    /// By one from event to event, so that a gap shows a missing event.
+    Consecutive,
+    /// By different numbers, such as those of tokens.
+    Increasing,
+}
+
+/// Buffer that yields complete events of a stream and checks that their identifiers increase.
+///
+/// Comments and fields without an identifier, which are no events, are passed on together with the
+/// next event, so that a target can't prolong a stream with them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventBuffer {
-    partial: Vec<u8>,
-    last: Option<u64>,
+    blocks: Blocks,
+    last: Option<StreamEventId>,
+    numbering: Numbering,
+    /// Whether the last event came from an earlier target or before the caller resumed the stream.
+    resumed: bool,
+    error: Option<EventError>,
 }
 
 impl EventBuffer {
     /// Returns a buffer for a stream that continues after the event `last`, or for a new stream if
     /// there is none.
-    pub fn resume_after(last: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last }
+    pub fn resume_after(last: Option<StreamEventId>) -> Self {
+        Self { last, resumed: last.is_some(), ..Self::default() }
     }
 
-    /// Returns the identifier of the last complete event.
-    pub fn last_event(&self) -> Option<u64> {
+    /// Returns the identifier of the last event that [`Self::push`] has returned.
+    pub fn last_event(&self) -> Option<StreamEventId> {
         self.last
     }
 
-    /// Returns whether the buffer holds no partial event.
+    /// Returns the error that ended the stream, after the events that [`Self::push`] has returned.
+    pub fn error(&self) -> Option<EventError> {
+        self.error
+    }
+
+    /// Returns whether the stream can end here, since no event is partial.
     pub fn is_complete(&self) -> bool {
-        self.partial.is_empty()
+        self.error.is_none() && !self.blocks.is_inside_block()
     }
 
-    /// Discards a partial event, as when its stream has failed.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
+    /// Takes what followed the last event when the stream has ended.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        self.blocks.take_event()
     }
 
-    /// Adds bytes and returns the bytes of all events that are now complete.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`EventError::OutOfOrder`] if the identifier of an event is not one higher than that
-    /// of the event before, and [`EventError::TooLarge`] if the partial event is too large.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
-        // The bytes before were searched when they were added.
-        let searched = self.partial.len().saturating_sub(EVENT_DELIMITER.len() - 1);
-        self.partial.extend_from_slice(bytes);
-        let end = self.partial[searched..]
-            .windows(EVENT_DELIMITER.len())
-            .rposition(|window| window == EVENT_DELIMITER)
-            .map(|position| searched + position + EVENT_DELIMITER.len());
-        if self.partial.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
-            return Err(EventError::TooLarge);
+    /// Continues after the last event with what another target sends.
+    pub fn resume(&mut self) {
+        self.blocks = Blocks::default();
+        self.resumed = self.last.is_some();
+        self.error = None;
+    }
+
+    /// Adds bytes and returns the bytes of all events that are now complete and in order. An error
+    /// is kept, and what follows it is ignored.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let mut events = Vec::new();
+        if self.error.is_some() {
+            return events;
         }
-        let Some(end) = end else { return Ok(Vec::new()) };
-        let rest = self.partial.split_off(end);
-        let complete = std::mem::replace(&mut self.partial, rest);
-        for line in complete.split(|&byte| byte == b'\n') {
-            self.check_order(line)?;
+        self.blocks.extend(bytes);
+        while self.error.is_none() {
+            match self.next_event() {
+                Ok(true) => events.append(&mut self.blocks.take_event()),
+                Ok(false) => break,
+                Err(error) => self.error = Some(error),
+            }
         }
-        Ok(complete)
+        events
     }
 
-    fn check_order(&mut self, line: &[u8]) -> Result<(), EventError> {
-        let Some(found) = parse_event_id(line) else { return Ok(()) };
-        if let Some(last) = self.last
-            && found != last + 1
-        {
-            return Err(EventError::OutOfOrder { last, found });
+    /// Returns whether there is another complete event.
+    fn next_event(&mut self) -> Result<bool, EventError> {
+        let Some(found) = self.blocks.next_event()? else { return Ok(false) };
+        let is_next = self.last.unwrap_or(0).checked_add(1) == Some(found);
+        if let Some(last) = self.last {
+            let is_gap = self.resumed && self.numbering == Numbering::Consecutive && !is_next;
+            if found <= last || is_gap {
+                return Err(EventError::OutOfOrder { last, found });
+            }
         }
-        self.last = Some(found);
-        Ok(())
+        self.numbering = match self.numbering {
+            Numbering::Increasing => Numbering::Increasing,
+            _ if is_next => Numbering::Consecutive,
+            _ if self.last.is_none() => Numbering::Unknown,
+            _ => Numbering::Increasing,
+        };
+        (self.last, self.resumed) = (Some(found), false);
+        Ok(true)
     }
 }
-
-fn parse_event_id(line: &[u8]) -> Option<u64> {
-    let value = line.strip_prefix(b"id:")?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of a caller's request to targets: when it may be retried and whether it may have run.
 
 mod answer;
+mod blocks;
 mod call;
 mod events;
 mod failure;
@@ -8,8 +9,9 @@
 
 pub use self::{
     answer::{RequestMatch, ResponseHead, Verdict},
+    blocks::MAX_EVENT_BYTES,
     call::{Call, Sent, Unsent},
-    events::{EventBuffer, EventError, MAX_EVENT_BYTES},
+    events::{EventBuffer, EventError},
     failure::{Failure, FailureOutcome},
     progress::Progress,
 };
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -32,6 +32,8 @@
 pub type RouteId = String;
 /// Name of a service, a group of targets that serve the same requests.
 pub type ServiceId = String;
+/// Identifier of an event of a target's stream, which increases within the stream.
+pub type StreamEventId = u64;
 /// Name of a target: a model engine or an application worker.
 pub type TargetId = String;
 /// Name of a team.
