--- a/gateway/src/quarantine/decisions.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -6,19 +6,19 @@
     forward::Progress,
     ids::PromptPartId,
     placement::Choice,
-    quarantine::{CrashId, Detection, News, Refusal, RequestLoss},
+    quarantine::{CrashId, Detection, LifeSign, News, PartSet, Refusal, RequestLoss},
 };
 use log::{info, warn};
 use std::time::Instant;
 
 impl Gateway {
     /// Returns why a request with `parts` must not be sent, if that is so.
-    pub(crate) fn quarantine_refusal(&self, parts: &[PromptPartId]) -> Option<Refusal> {
+    pub(crate) fn quarantine_refusal(&self, parts: &PartSet) -> Option<Refusal> {
         self.state().quarantine.refusal(parts, self.clock.now())
     }
 
     /// Waits until one of `parts` is quarantined.
-    pub(crate) async fn wait_quarantined(&self, parts: &[PromptPartId]) {
+    pub(crate) async fn wait_quarantined(&self, parts: &PartSet) {
         let mut updates = self.quarantine_updates.subscribe();
         while !self.state().quarantine.is_held(parts) {
             if parts.is_empty() || updates.changed().await.is_err() {
@@ -29,36 +29,30 @@
 
     /// Returns whether a request with `parts`, which lost its target as that began to answer,
     /// should not be sent to another one.
-    pub(crate) fn is_suspected(&self, parts: &[PromptPartId]) -> bool {
+    pub(crate) fn is_suspected(&self, parts: &PartSet) -> bool {
         self.state().quarantine.is_suspected(parts, self.clock.now())
     }
 
-    /// Records that a target has begun to send the answer to a request with `parts`.
-    pub(crate) fn record_answer(&self, parts: &[PromptPartId]) {
-        self.state().quarantine.record_answer(parts, self.clock.now());
+    /// Records that a request with `parts` has given `sign`, so that they do not crash its target.
+    pub(crate) fn record_sign(&self, sign: LifeSign, parts: &PartSet) {
+        self.state().quarantine.record_sign(sign, parts, self.clock.now());
     }
 
     /// Reports that the connection to the target of a request with `parts` was lost, which may be a
     /// crash.
-    pub(crate) fn report_loss(&self, choice: &Choice, progress: Progress, parts: &[PromptPartId]) {
+    pub(crate) fn report_loss(&self, choice: &Choice, progress: Progress, parts: &PartSet) {
         if parts.is_empty() || progress == Progress::Streaming {
             return;
         }
         let crash = CrashId { target: choice.target.clone(), started_at: choice.started_at };
-        let loss = RequestLoss { crash, progress, parts: parts.to_vec() };
+        let loss = RequestLoss { crash, progress, parts: parts.clone() };
         let (address, at) = (choice.address, self.clock.now());
         self.loss_sender.send(LossReport { loss, address, at });
     }
 
     /// Records requests that were lost in a crash that is confirmed.
     pub(super) fn record_losses(&self, losses: Vec<(RequestLoss, Instant)>) {
-        let now = self.clock.now();
-        let mut state = self.state();
-        let mut detections = Vec::new();
-        for (loss, at) in losses {
-            detections.extend(state.quarantine.record_loss(loss, at, now));
-        }
-        drop(state);
+        let detections = self.state().quarantine.record_losses(losses, self.clock.now());
         self.announce(detections);
         self.notify_peers();
     }
@@ -88,14 +82,20 @@
         self.quarantine_updates.send_modify(|count| *count += 1);
     }
 
-    /// Updates the metrics that change with time and with answers.
-    pub(crate) fn update_quarantine_metrics(&self) {
-        let state = self.state();
-        let suspicion = state.quarantine.strongest_suspicion(self.clock.now());
+    /// Reviews the evidence, and updates the metrics that change with time and with answers.
+    pub(crate) fn review_quarantine(&self) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let detections = state.quarantine.review(now);
+        let suspicion = state.quarantine.strongest_suspicion(now);
         let held = state.quarantine.held_count();
         drop(state);
         metrics::gauge!("fulmarhead_suspect_part_crashes").set(suspicion);
         metrics::gauge!("fulmarhead_quarantined_parts").set(held as f64);
+        if !detections.is_empty() {
+            self.announce(detections);
+            self.notify_peers();
+        }
     }
 
     /// Records that a target accepts connections although it broke off an answer.
@@ -108,8 +108,14 @@
     }
 }
 
-/// Returns the parts as they are written in logs and dumps.
-pub(crate) fn parts_text<'a>(parts: impl IntoIterator<Item = &'a PromptPartId>) -> String {
-    let parts: Vec<String> = parts.into_iter().map(|part| format!("{part:x}")).collect();
-    parts.join(",")
+/// Maximum number of parts that are written in one line of a log.
+const MAX_LOGGED_PARTS: usize = 64;
+
+/// Returns the parts as they are written in logs and dumps. Of many, the first ones are written,
+/// and how many more there are.
+pub(crate) fn parts_text(parts: &PartSet) -> String {
+    let logged = parts.iter().take(MAX_LOGGED_PARTS).map(|part: &PromptPartId| format!("{part:x}"));
+    let omitted = parts.len().saturating_sub(MAX_LOGGED_PARTS);
+    let omitted = (omitted > 0).then(|| format!("and {omitted} more"));
+    logged.chain(omitted).collect::<Vec<String>>().join(",")
 }
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -255,7 +255,7 @@
     context.gateway.record_notice(&choice, head.notice);
     let verdict = head.verdict();
     if verdict == Verdict::Answer {
-        work.set_progress(Progress::Begun);
+        work.record_begin();
         let (headers, connection) = (parts.headers, open_response.connection);
         return Ok(TargetResponse { call, choice, head, headers, body, work, connection });
     }
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{EventBuffer, Failure, Progress},
-    ids::PromptPartId,
     placement::AttemptResult,
+    quarantine::{LifeSign, PartSet},
 };
 use fulmarhead_platform::caller_response_headers;
 use futures::Stream;
@@ -32,6 +32,9 @@
     response
 }
 
+/// Parts of a request that is not quarantined any more.
+static NO_PARTS: PartSet = PartSet::new();
+
 /// The outcome of a read from a target's stream.
 enum ReadOutcome {
     /// Complete events, encoded for the caller.
@@ -67,10 +70,8 @@
                             false => times.first_byte = now,
                         }
                         (started, last_chunk_at) = (true, now);
-                        target_response.work.record_activity();
-                        if target_response.work.progress() != Progress::Streaming {
-                            target_response.work.set_progress(Progress::Streaming);
-                            context.gateway.record_answer(&context.head.shared_parts);
+                        if let Some(sign) = target_response.work.record_events() {
+                            context.gateway.record_sign(sign, &context.head.shared_parts);
                         }
                         yield Ok(Bytes::from(events));
                     }
@@ -79,6 +80,10 @@
                             yield Ok(Bytes::from(rest));
                         }
                         target_response.work.set_result(AttemptResult::Answered);
+                        let sign = LifeSign::Survival;
+                        if target_response.work.record_sign(sign).is_some() {
+                            context.gateway.record_sign(sign, &context.head.shared_parts);
+                        }
                         let (request, target) =
                             (&context.head.request_id, target_response.call.target());
                         times.total = context.elapsed();
@@ -123,10 +128,10 @@
     buffer: &mut EventBuffer,
 ) -> ReadOutcome {
     let clock = &context.gateway.clock;
-    // A request whose answer has events does not crash its target.
-    let unanswered_parts: &[PromptPartId] = match target_response.work.progress() {
-        Progress::Streaming => &[],
-        Progress::Waiting | Progress::Begun => &context.head.shared_parts,
+    // A request whose answer goes on for some time does not crash its target.
+    let unanswered_parts = match target_response.work.progress() {
+        Progress::Streaming => &NO_PARTS,
+        Progress::Waiting | Progress::Begun | Progress::Started => &context.head.shared_parts,
     };
     let last_activity = clock.now();
     let mut silence_end = last_activity + context.silence_timeout();
@@ -196,7 +201,9 @@
     if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
         let parts = &context.head.shared_parts;
         context.gateway.report_loss(&choice, progress, parts);
-        if progress == Progress::Begun && context.gateway.is_suspected(parts) {
+        if matches!(progress, Progress::Begun | Progress::Started)
+            && context.gateway.is_suspected(parts)
+        {
             return None;
         }
     }
--- a/gateway/src/serve/in_flight.rs
+++ b/gateway/src/serve/in_flight.rs
@@ -6,6 +6,7 @@
     forward::Progress,
     ids::TargetId,
     placement::{AttemptResult, Choice, Work, WorkId},
+    quarantine::{LifeSign, SURVIVAL_TIME},
 };
 use std::{sync::Arc, time::Instant};
 
@@ -29,7 +30,12 @@
     pub(super) started_at: Instant,
     /// Whether the target has sent its first bytes.
     has_responded: bool,
-    progress: Progress,
+    /// Whether the head of the answer has arrived.
+    has_begun: bool,
+    /// Time of the first event.
+    first_event: Option<Instant>,
+    /// Last sign that the request does not crash its target.
+    life_sign: Option<LifeSign>,
     result: AttemptResult,
 }
 
@@ -71,7 +77,9 @@
             leases,
             started_at: now,
             has_responded: false,
-            progress: Progress::Waiting,
+            has_begun: false,
+            first_event: None,
+            life_sign: None,
             result,
         }
     }
@@ -94,12 +102,35 @@
 
     /// Returns how much of the answer has arrived.
     pub(super) fn progress(&self) -> Progress {
-        self.progress
+        let now = self.gateway.clock.now();
+        match self.first_event {
+            Some(at) if now.saturating_duration_since(at) < SURVIVAL_TIME => Progress::Started,
+            Some(_) => Progress::Streaming,
+            None if self.has_begun => Progress::Begun,
+            None => Progress::Waiting,
+        }
+    }
+
+    /// Records that the head of the answer has arrived.
+    pub(super) fn record_begin(&mut self) {
+        self.has_begun = true;
+    }
+
+    /// Records that events have arrived. Returns the sign of life that they give, if it is new.
+    pub(super) fn record_events(&mut self) -> Option<LifeSign> {
+        self.record_activity();
+        self.first_event.get_or_insert(self.gateway.clock.now());
+        self.record_sign(match self.progress() {
+            Progress::Streaming => LifeSign::Survival,
+            _ => LifeSign::FirstEvent,
+        })
     }
 
-    /// Records how much of the answer has arrived.
-    pub(super) fn set_progress(&mut self, progress: Progress) {
-        self.progress = progress;
+    /// Records a sign that the request does not crash its target, and returns it if it is new.
+    pub(super) fn record_sign(&mut self, sign: LifeSign) -> Option<LifeSign> {
+        let is_new = self.life_sign < Some(sign);
+        self.life_sign = self.life_sign.max(Some(sign));
+        is_new.then_some(sign)
     }
 
     /// Sets the result to report when the work ends; `Abandoned` if it is never set.
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -32,7 +32,7 @@
 /// until SIGKILL.
 const ABORT_TIME_SHARE: f64 = 0.94;
 
-/// Interval at which the readiness of the gateway and the metrics of its quarantine are updated.
+/// Interval at which the readiness of the gateway is updated and its quarantine is reviewed.
 const READINESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The bound listeners of a gateway.
@@ -122,11 +122,11 @@
     pending().await
 }
 
-/// Keeps the readiness of the process equal to that of the gateway.
+/// Keeps the readiness of the process equal to that of the gateway, and reviews its quarantine.
 async fn update_readiness(gateway: &Gateway, serving: &Process<Serving>) {
     loop {
         serving.set_ready(gateway.is_ready());
-        gateway.update_quarantine_metrics();
+        gateway.review_quarantine();
         sleep(READINESS_INTERVAL).await;
     }
 }
--- a/lib/src/forward/progress.rs
+++ b/lib/src/forward/progress.rs
@@ -10,6 +10,9 @@
     Waiting,
     /// The head, so that the target has begun to generate the answer.
     Begun,
-    /// At least one event.
+    /// Events, of which the first has just arrived. A target that crashes now may do so because of
+    /// the request.
+    Started,
+    /// Events for some time.
     Streaming,
 }
--- /dev/null
+++ b/lib/src/quarantine/crash.rs
@@ -0,0 +1,184 @@
+//! One crash of a target, and the parts of the requests that may have caused it.
+
+use super::{LifeSign, PartSet, Version};
+use crate::{
+    forward::Progress,
+    ids::{PromptPartId, TargetId},
+};
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Time after which a crash counts for requests other than those whose answers had begun without any
+/// event. Until then, another entry may report that there was one, and a sound part that was started
+/// elsewhere at the time of the crash is acquitted.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
+/// Weight of a crash for a part of a request whose answer had begun without any event.
+pub(super) const BEGUN_WEIGHT: u32 = 4;
+
+/// Weight of a crash for a part of a request whose first event had just arrived. A target serves
+/// several such requests at a time, so that more of them are victims.
+pub(super) const STARTED_WEIGHT: u32 = 3;
+
+/// Weight of a crash in which no answer had begun, for a part of a request that waited.
+const WAITING_WEIGHT: u32 = 2;
+
+/// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CrashId {
+    /// Target that crashed.
+    pub target: TargetId,
+    /// Start time of the target, if the list of targets has it.
+    pub started_at: Option<SystemTime>,
+}
+
+/// A request whose target crashed before or soon after it sent the first event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestLoss {
+    /// Run of the target.
+    pub crash: CrashId,
+    /// How much of the answer had arrived.
+    pub progress: Progress,
+    /// Parts of the prompt.
+    pub parts: PartSet,
+}
+
+/// What is known about one crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Crash {
+    pub(super) at: Instant,
+    /// Parts of requests whose answers had begun without any event.
+    pub(super) begun: PartSet,
+    /// Parts of requests whose first event had just arrived.
+    pub(super) started: PartSet,
+    /// Parts of requests of which no answer had begun.
+    pub(super) waiting: PartSet,
+    /// Whether the target was answering any request. Those that waited are victims then, also after
+    /// the others were answered elsewhere.
+    pub(super) was_answering: bool,
+    pub(super) version: Version,
+}
+
+impl Crash {
+    /// Returns a crash at `at` without suspects.
+    pub(super) fn new(at: Instant, version: Version) -> Self {
+        Self {
+            at,
+            begun: PartSet::new(),
+            started: PartSet::new(),
+            waiting: PartSet::new(),
+            was_answering: false,
+            version,
+        }
+    }
+
+    /// Adds the parts of a request that was lost after `progress`.
+    pub(super) fn add_loss(&mut self, progress: Progress, parts: PartSet) {
+        let parts = parts.into_iter();
+        match progress {
+            Progress::Begun => self.begun.extend(parts),
+            Progress::Started => self.started.extend(parts),
+            Progress::Waiting => self.waiting.extend(parts),
+            Progress::Streaming => return,
+        }
+        self.was_answering |= progress != Progress::Waiting;
+        self.tidy();
+    }
+
+    /// Adds what another report says of the same crash, and returns whether that is new.
+    pub(super) fn merge(&mut self, other: Self) -> bool {
+        let before = (self.begun.len(), self.started.len(), self.waiting.len());
+        let was_answering = self.was_answering;
+        self.at = self.at.min(other.at);
+        self.begun.extend(other.begun);
+        self.started.extend(other.started);
+        self.waiting.extend(other.waiting);
+        self.was_answering |= other.was_answering;
+        self.tidy();
+        let after = (self.begun.len(), self.started.len(), self.waiting.len());
+        let changed = before != after || was_answering != self.was_answering;
+        if changed {
+            self.version = other.version;
+        }
+        changed
+    }
+
+    /// Returns those of `candidates` that may have caused the crash, with the weight of this
+    /// evidence. `is_silent` says whether no answer to a request with a part has begun for some time,
+    /// as if targets crash before they write.
+    ///
+    /// Requests that waited are suspects only if no answer had begun, since a target is more likely
+    /// to crash at a request that it begins to answer.
+    pub(super) fn suspects(
+        &self,
+        candidates: &PartSet,
+        is_silent: impl Fn(PromptPartId) -> bool,
+        now: Instant,
+    ) -> Vec<(PromptPartId, u32)> {
+        let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
+        let silent = |part: &&PromptPartId| candidates.contains(part) && is_silent(**part);
+        let begun: PartSet = self.begun.iter().filter(silent).copied().collect();
+        let mut suspects: Vec<_> = begun.iter().map(|part| (*part, BEGUN_WEIGHT)).collect();
+        if settled {
+            let is_started =
+                |part: &&PromptPartId| candidates.contains(part) && !begun.contains(part);
+            let started = self.started.iter().filter(is_started);
+            suspects.extend(started.map(|part| (*part, STARTED_WEIGHT)));
+            let waiting = self.waiting.iter().filter(silent);
+            suspects.extend(waiting.map(|part| (*part, WAITING_WEIGHT)));
+        }
+        suspects
+    }
+
+    /// Returns whether the requests with the parts `held` may have caused the crash.
+    pub(super) fn is_explained_by(&self, held: &PartSet, now: Instant) -> bool {
+        let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
+        match self.was_answering {
+            true => self.was_answering_all(held),
+            false => settled && held.is_subset(&self.waiting),
+        }
+    }
+
+    /// Returns whether all of `parts` were in requests that the target was answering.
+    pub(super) fn was_answering_all(&self, parts: &PartSet) -> bool {
+        parts.iter().all(|part| self.begun.contains(part) || self.started.contains(part))
+    }
+
+    /// Returns whether all of `parts` were in requests that were lost.
+    pub(super) fn involves_all(&self, parts: &PartSet) -> bool {
+        self.was_answering_all(parts) || parts.is_subset(&self.waiting)
+    }
+
+    /// Removes `part` from the suspects as far as `sign` clears it, and returns whether it was one.
+    pub(super) fn clear(&mut self, part: PromptPartId, sign: LifeSign) -> bool {
+        let was_started = sign == LifeSign::Survival && self.started.remove(&part);
+        let was_begun = self.begun.remove(&part) || self.waiting.remove(&part);
+        was_started || was_begun
+    }
+
+    /// Returns whether `part` is recorded.
+    pub(super) fn contains(&self, part: PromptPartId) -> bool {
+        [&self.begun, &self.started, &self.waiting].iter().any(|set| set.contains(&part))
+    }
+
+    /// Returns all parts that are recorded.
+    pub(super) fn parts(&self) -> impl Iterator<Item = PromptPartId> {
+        self.begun.iter().chain(self.only_started()).chain(&self.waiting).copied()
+    }
+
+    /// Returns the number of parts that are recorded.
+    pub(super) fn suspect_count(&self) -> usize {
+        self.begun.len() + self.started.len() + self.waiting.len()
+    }
+
+    fn only_started(&self) -> impl Iterator<Item = &PromptPartId> {
+        self.started.iter().filter(|part| !self.begun.contains(part))
+    }
+
+    /// Removes the requests that waited if they are no evidence.
+    fn tidy(&mut self) {
+        if self.was_answering {
+            self.waiting.clear();
+        }
+    }
+}
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -1,8 +1,9 @@
 //! Detection of the parts that crash targets.
 
 use super::{
-    Detection, PartSet, Quarantine,
-    evidence::{BEGUN_WEIGHT, Suspicion},
+    Detection, LifeSign, PartSet, Quarantine,
+    crash::{BEGUN_WEIGHT, STARTED_WEIGHT},
+    evidence::Suspicion,
     registry::MAX_HOLDS,
 };
 use crate::ids::PromptPartId;
@@ -14,16 +15,22 @@
 
 /// Weight of the evidence at which a part is quarantined: four crashes in a row of targets that had
 /// begun to answer a request with the part, and no answer in between.
-const CONVICTION_WEIGHT: u32 = 8;
+const CONVICTION_WEIGHT: u32 = 4 * BEGUN_WEIGHT;
+
+/// The same if one of the crashes came after the first event: six such crashes in a row.
+const STARTED_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
 
 /// Weight of the evidence from which a request that lost its target is not sent to another one: two
 /// crashes of targets that had begun to answer a request with the part.
-const SUSPICION_WEIGHT: u32 = 4;
+const SUSPICION_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
 
 /// Time without any answer to a request with a part from which the part can be suspected. A part
 /// that many sound requests share is answered all the time, also while targets crash.
 const MIN_SILENCE: Duration = Duration::from_secs(2);
 
+/// Time after the latest crash during which the evidence is reviewed, longer than `MIN_SILENCE`.
+const REVIEW_TIME: Duration = Duration::from_secs(3);
+
 /// Number of answers to requests without a part that must have come since its first crash. If
 /// nothing is answered at all, the targets have another problem than that part.
 pub(super) const MIN_OTHER_ANSWERS: usize = 2;
@@ -36,7 +43,10 @@
 impl Quarantine {
     /// Returns whether a part of `parts` has crashed so many targets in a row that a request which
     /// lost its target should not be sent to another one.
-    pub fn is_suspected(&self, parts: &[PromptPartId], now: Instant) -> bool {
+    pub fn is_suspected(&self, parts: &PartSet, now: Instant) -> bool {
+        if !parts.iter().any(|part| self.evidence.is_suspect(*part)) {
+            return false;
+        }
         let suspicions = self.suspicions(now);
         let weights = parts.iter().filter_map(|part| suspicions.get(part)).map(|it| it.weight);
         weights.max().unwrap_or(0) >= SUSPICION_WEIGHT
@@ -49,6 +59,16 @@
         f64::from(weights.max().unwrap_or(0)) / f64::from(BEGUN_WEIGHT)
     }
 
+    /// Looks at the evidence again, as some of it counts only after some time, and returns the parts
+    /// that are quarantined because of it.
+    pub fn review(&mut self, now: Instant) -> Vec<Detection> {
+        let latest = self.evidence.latest();
+        match latest.is_some_and(|at| now.saturating_duration_since(at) < REVIEW_TIME) {
+            true => self.detect(now),
+            false => Vec::new(),
+        }
+    }
+
     /// Quarantines the parts against which there is enough evidence, the most suspected first: the
     /// crashes that they explain no longer count for others.
     pub(super) fn detect(&mut self, now: Instant) -> Vec<Detection> {
@@ -65,32 +85,27 @@
     /// quarantined yet: several if they were in the same requests each time, so that the evidence
     /// does not say which of them crashes targets.
     fn strongest_suspects(&self, now: Instant) -> Option<PartSet> {
-        let suspicions = self.suspicions(now);
         // Of equally suspected parts, one that sound requests share was answered last.
-        let rank = |part: &PromptPartId, suspicion: &Suspicion| {
-            (suspicion.weight, Reverse(self.answers.last(*part)))
-        };
-        let proved = suspicions.iter().filter(|(_, suspicion)| self.is_proved(suspicion));
-        let sets = proved.map(|(part, suspicion)| {
-            let strongest = rank(part, suspicion);
-            let is_equal = |other: &PromptPartId| {
-                suspicions.get(other).is_some_and(|other_suspicion| {
-                    rank(other, other_suspicion) == strongest
-                        && other_suspicion.companions.contains(part)
-                })
-            };
-            let set: PartSet = suspicion.companions.iter().copied().filter(is_equal).collect();
-            (strongest, set)
-        });
-        let new = sets.filter(|(_, set)| !self.is_covered(set));
-        new.max_by_key(|(strongest, _)| *strongest).map(|(_, set)| set)
+        let mut groups: BTreeMap<_, PartSet> = BTreeMap::new();
+        for (part, suspicion) in self.suspicions(now) {
+            if self.is_proved(&suspicion) {
+                let rank = (
+                    suspicion.weight,
+                    Reverse(self.log(LifeSign::Survival).last(part)),
+                    suspicion.crashes,
+                );
+                groups.entry(rank).or_default().insert(part);
+            }
+        }
+        groups.into_values().rev().find(|set| !self.is_covered(set))
     }
 
     fn is_proved(&self, suspicion: &Suspicion) -> bool {
-        let Suspicion { weight, first_at, .. } = *suspicion;
+        let Suspicion { weight, has_started, first_at, .. } = *suspicion;
+        let needed = if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
         let share = f64::from(weight) / f64::from(self.evidence.weight_since(first_at).max(1));
-        weight >= CONVICTION_WEIGHT
-            && (share >= MIN_CRASH_SHARE || weight >= 2 * CONVICTION_WEIGHT)
+        weight >= needed
+            && (share >= MIN_CRASH_SHARE || weight >= 2 * needed)
             && self.has_other_answers(first_at)
     }
 
@@ -101,15 +116,14 @@
 
     /// Returns the suspicions of parts that were not answered for some time.
     fn suspicions(&self, now: Instant) -> BTreeMap<PromptPartId, Suspicion> {
-        let is_explained = |suspects: &PartSet, part: PromptPartId| {
-            self.holds().any(|held| !held.contains(&part) && held.is_subset(suspects))
-        };
-        let mut suspicions =
-            self.evidence.suspicions(|part| self.answers.last(part), is_explained, now);
-        suspicions.retain(|part, _| {
-            let last = self.answers.last(*part);
+        let holds: Vec<&PartSet> = self.holds().collect();
+        let is_silent = |part, sign| {
+            let last = self.log(sign).last(part);
             last.is_none_or(|at| now.saturating_duration_since(at) >= MIN_SILENCE)
-        });
+        };
+        let begins_none = |part| is_silent(part, LifeSign::FirstEvent);
+        let mut suspicions = self.evidence.suspicions(&holds, begins_none, now);
+        suspicions.retain(|part, _| is_silent(*part, LifeSign::Survival));
         suspicions
     }
 
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -1,14 +1,13 @@
 //! Crashes of targets, and the requests that were lost in them.
 
-use super::{PartSet, Version};
-use crate::{
-    forward::Progress,
-    ids::{PromptPartId, TargetId},
+use super::{
+    LifeSign, PartSet, Version,
+    crash::{BEGUN_WEIGHT, Crash, CrashId, STARTED_WEIGHT},
 };
-use serde::{Deserialize, Serialize};
+use crate::ids::{PromptPartId, TargetId};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, Instant},
 };
 
 /// Time for which a crash is remembered, so that requests that come a minute apart are recognized.
@@ -17,100 +16,40 @@
 /// Maximum number of remembered crashes; the oldest are forgotten first.
 const MAX_CRASHES: usize = 128;
 
-/// Maximum number of parts that are recorded for one crash.
-const MAX_SUSPECTS: usize = 64;
+/// Maximum number of parts of all remembered crashes together, eight crashes of the most parts that
+/// one request can have; the oldest crashes are forgotten first.
+const MAX_SUSPECTS: usize = 32_768;
 
 /// Minimum time between two crashes for both to count. Targets that crash together have a common
 /// cause, such as a power failure, of which many requests with a common part are victims.
 const MIN_SPACING: Duration = Duration::from_millis(50);
 
-/// Time after which a crash counts in which no answer had begun. Until then, another entry may
-/// report that one had.
-const SETTLING_TIME: Duration = Duration::from_millis(500);
-
-/// Weight of a crash for a part of a request whose answer had begun.
-pub(super) const BEGUN_WEIGHT: u32 = 2;
-
-/// Weight of a crash in which no answer had begun, for a part of a request that waited.
-const WAITING_WEIGHT: u32 = 1;
-
-/// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct CrashId {
-    /// Target that crashed.
-    pub target: TargetId,
-    /// Start time of the target, if the list of targets has it.
-    pub started_at: Option<SystemTime>,
-}
-
-/// A request whose target crashed before it sent any event.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestLoss {
-    /// Run of the target.
-    pub crash: CrashId,
-    /// How much of the answer had arrived.
-    pub progress: Progress,
-    /// Parts of the prompt.
-    pub parts: Vec<PromptPartId>,
-}
-
-/// What is known about one crash.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Crash {
-    pub(super) at: Instant,
-    /// Parts of requests whose answers had begun.
-    pub(super) begun: PartSet,
-    /// Parts of requests of which no answer had begun.
-    pub(super) waiting: PartSet,
-    pub(super) version: Version,
-}
-
-impl Crash {
-    /// Returns the parts that may have caused the crash, with the weight of this evidence.
-    ///
-    /// Requests that waited are suspects only if no answer had begun, since a target is more likely
-    /// to crash at the request that it begins to answer.
-    pub(super) fn suspects(&self, now: Instant) -> (&PartSet, u32) {
-        if !self.begun.is_empty() {
-            return (&self.begun, BEGUN_WEIGHT);
-        }
-        let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
-        (&self.waiting, if settled { WAITING_WEIGHT } else { 0 })
-    }
-
-    /// Returns whether a request with `part` was lost before any of its answer had arrived.
-    pub(super) fn involves(&self, part: PromptPartId) -> bool {
-        self.begun.contains(&part) || self.waiting.contains(&part)
-    }
-}
-
 /// Evidence that a part crashes targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Suspicion {
     /// Sum of the weights of the crashes that count.
     pub(super) weight: u32,
+    /// Whether one of the crashes came after the first event of the request.
+    pub(super) has_started: bool,
     /// Time of the first crash.
     pub(super) first_at: Instant,
-    last_counted: Option<Instant>,
-    /// Parts that are suspected of every crash that this part is suspected of, itself included.
-    pub(super) companions: PartSet,
+    last_counted: Instant,
+    /// Positions, in the order of time, of the crashes that the part is suspected of.
+    pub(super) crashes: Vec<usize>,
 }
 
 impl Suspicion {
-    fn new(first_at: Instant) -> Self {
-        Self { weight: 0, first_at, last_counted: None, companions: PartSet::new() }
+    fn new(at: Instant, weight: u32, crash: usize) -> Self {
+        let has_started = weight == STARTED_WEIGHT;
+        Self { weight, has_started, first_at: at, last_counted: at, crashes: vec![crash] }
     }
 
-    fn add(&mut self, at: Instant, weight: u32, suspects: &PartSet) {
-        match self.last_counted {
-            None => self.companions = suspects.clone(),
-            Some(_) => self.companions.retain(|part| suspects.contains(part)),
-        }
-        let is_near =
-            self.last_counted.is_some_and(|last| at.saturating_duration_since(last) < MIN_SPACING);
-        if !is_near {
+    fn add(&mut self, at: Instant, weight: u32, crash: usize) {
+        self.crashes.push(crash);
+        if at.saturating_duration_since(self.last_counted) >= MIN_SPACING {
             self.weight += weight;
-            self.last_counted = Some(at);
+            self.has_started |= weight == STARTED_WEIGHT;
+            self.last_counted = at;
         }
     }
 }
@@ -119,29 +58,35 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
     crashes: BTreeMap<CrashId, Crash>,
+    /// Number of crashes that each part is a suspect of.
+    counts: BTreeMap<PromptPartId, usize>,
 }
 
 impl Evidence {
     /// Adds what is known about a crash, and returns whether that is new. A crash that two entries
     /// have seen happened at the earlier of their times.
     pub(super) fn add(&mut self, id: CrashId, crash: Crash, now: Instant) -> bool {
-        self.crashes.retain(|_, crash| now.saturating_duration_since(crash.at) < CRASH_LIFETIME);
-        let Some(known) = self.crashes.get_mut(&id) else {
-            self.crashes.insert(id, crash);
-            self.evict();
-            return true;
+        self.forget_old(now);
+        let known = self.crashes.remove(&id);
+        let (merged, changed) = match known {
+            None => (crash, true),
+            Some(mut known) => {
+                self.count_parts(&known, false);
+                let changed = known.merge(crash);
+                (known, changed)
+            }
         };
-        known.at = known.at.min(crash.at);
-        let before = known.begun.len() + known.waiting.len();
-        extend_bounded(&mut known.begun, crash.begun);
-        extend_bounded(&mut known.waiting, crash.waiting);
-        let changed = known.begun.len() + known.waiting.len() > before;
-        if changed {
-            known.version = crash.version;
-        }
+        self.count_parts(&merged, true);
+        self.crashes.insert(id, merged);
+        self.evict();
         changed
     }
 
+    /// Returns the time of the crash `id`, of which a report says that it was at `at`.
+    pub(super) fn crash_time(&self, id: &CrashId, at: Instant) -> Instant {
+        self.crashes.get(id).map_or(at, |known| known.at.min(at))
+    }
+
     /// Returns the crashes about which something was learned after `version`.
     pub(super) fn changed_since(
         &self,
@@ -150,33 +95,57 @@
         self.crashes.iter().filter(move |(_, crash)| crash.version > version)
     }
 
-    /// Returns whether a request with `part` was lost in a crash after `from` and before `to`.
-    pub(super) fn involves(&self, part: PromptPartId, from: Option<Instant>, to: Instant) -> bool {
-        let between = |crash: &&Crash| from.is_none_or(|from| crash.at > from) && crash.at < to;
-        self.crashes.values().filter(between).any(|crash| crash.involves(part))
+    /// Returns whether `part` is a suspect of any crash.
+    pub(super) fn is_suspect(&self, part: PromptPartId) -> bool {
+        self.counts.contains_key(&part)
+    }
+
+    /// Removes `part` from the suspects of the crashes until `at`, when a request with it gave
+    /// `sign`. Returns whether it was one.
+    pub(super) fn clear(&mut self, part: PromptPartId, sign: LifeSign, at: Instant) -> bool {
+        let Some(count) = self.counts.get_mut(&part) else { return false };
+        let mut cleared = false;
+        for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
+            if crash.clear(part, sign) {
+                cleared = true;
+                *count -= usize::from(!crash.contains(part));
+            }
+        }
+        if *count == 0 {
+            self.counts.remove(&part);
+        }
+        cleared
     }
 
-    /// Returns the suspicion of each part, from the crashes after the last answer to a request with
-    /// that part, as `last_answer` returns it. A crash does not count for a part if `is_explained`
-    /// says that others caused it.
+    /// Returns the suspicion of each part that is a suspect of several crashes. A crash does not count for a part if one of `holds`
+    /// without that part explains it. `is_silent` says whether no answer to a request with a part has
+    /// begun for some time.
     pub(super) fn suspicions(
         &self,
-        last_answer: impl Fn(PromptPartId) -> Option<Instant>,
-        is_explained: impl Fn(&PartSet, PromptPartId) -> bool,
+        holds: &[&PartSet],
+        is_silent: impl Fn(PromptPartId) -> bool,
         now: Instant,
     ) -> BTreeMap<PromptPartId, Suspicion> {
+        let mut suspicions: BTreeMap<PromptPartId, Suspicion> = BTreeMap::new();
+        // Most parts of long prompts are in one crash only.
+        let repeated = self.counts.iter().filter(|(_, count)| **count > 1).map(|(part, _)| *part);
+        let repeated: PartSet = repeated.collect();
+        if repeated.is_empty() {
+            return suspicions;
+        }
         let mut crashes: Vec<&Crash> = self.crashes.values().collect();
         crashes.sort_by_key(|crash| crash.at);
-        let mut suspicions: BTreeMap<PromptPartId, Suspicion> = BTreeMap::new();
-        for crash in crashes {
-            let (parts, weight) = crash.suspects(now);
-            for &part in parts.iter().filter(|_| weight > 0) {
-                let answered = last_answer(part).is_some_and(|at| at >= crash.at);
-                if answered || is_explained(parts, part) {
+        for (position, crash) in crashes.into_iter().enumerate() {
+            let explaining: Vec<&&PartSet> =
+                holds.iter().filter(|held| crash.is_explained_by(held, now)).collect();
+            for (part, weight) in crash.suspects(&repeated, &is_silent, now) {
+                if explaining.iter().any(|held| !held.contains(&part)) {
                     continue;
                 }
-                let entry = suspicions.entry(part).or_insert_with(|| Suspicion::new(crash.at));
-                entry.add(crash.at, weight, parts);
+                suspicions
+                    .entry(part)
+                    .and_modify(|suspicion| suspicion.add(crash.at, weight, position))
+                    .or_insert_with(|| Suspicion::new(crash.at, weight, position));
             }
         }
         suspicions
@@ -196,41 +165,61 @@
         count * BEGUN_WEIGHT
     }
 
-    /// Returns the parts of requests whose answers had begun in the crash `id`.
-    pub(super) fn begun_parts(&self, id: &CrashId) -> PartSet {
-        self.crashes.get(id).map(|crash| crash.begun.clone()).unwrap_or_default()
+    /// Returns whether all of `parts` were in requests that the target was answering when it
+    /// crashed as `id`.
+    pub(super) fn crashed_while_answering(&self, id: &CrashId, parts: &PartSet) -> bool {
+        self.crashes.get(id).is_some_and(|crash| crash.was_answering_all(parts))
     }
 
     /// Returns the targets whose crashes `parts` are suspected of, for the log.
     pub(super) fn targets_lost_with(&self, parts: &PartSet) -> Vec<TargetId> {
-        let involved = self
-            .crashes
-            .iter()
-            .filter(|(_, crash)| parts.is_subset(&crash.begun) || parts.is_subset(&crash.waiting));
+        let involved = self.crashes.iter().filter(|(_, crash)| crash.involves_all(parts));
         involved.map(|(id, _)| id.target.clone()).collect()
     }
 
+    /// Returns the time of the latest crash.
+    pub(super) fn latest(&self) -> Option<Instant> {
+        self.crashes.values().map(|crash| crash.at).max()
+    }
+
+    /// Returns the number of crashes.
     pub(super) fn len(&self) -> usize {
         self.crashes.len()
     }
 
     fn evict(&mut self) {
-        if self.crashes.len() <= MAX_CRASHES {
-            return;
+        while self.crashes.len() > MAX_CRASHES
+            || (self.crashes.len() > 1 && self.suspect_count() > MAX_SUSPECTS)
+        {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
+            if let Some(crash) = self.crashes.remove(&id) {
+                self.count_parts(&crash, false);
+            }
         }
-        let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
-        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
-            self.crashes.remove(&id);
+    }
+
+    fn suspect_count(&self) -> usize {
+        self.crashes.values().map(Crash::suspect_count).sum()
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let is_old = |crash: &Crash| now.saturating_duration_since(crash.at) >= CRASH_LIFETIME;
+        let old: Vec<(CrashId, Crash)> =
+            self.crashes.extract_if(.., |_, crash| is_old(crash)).collect();
+        for (_, crash) in old {
+            self.count_parts(&crash, false);
         }
     }
-}
 
-/// Adds the parts of `new` to `parts` up to `MAX_SUSPECTS`.
-pub(super) fn extend_bounded(parts: &mut PartSet, new: impl IntoIterator<Item = PromptPartId>) {
-    for part in new {
-        if parts.len() >= MAX_SUSPECTS {
-            return;
+    /// Adds the suspects of `crash` to the counts, or subtracts them.
+    fn count_parts(&mut self, crash: &Crash, added: bool) {
+        for part in crash.parts() {
+            let count = self.counts.entry(part).or_default();
+            *count = if added { *count + 1 } else { *count - 1 };
+            if *count == 0 {
+                self.counts.remove(&part);
+            }
         }
-        parts.insert(part);
     }
 }
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 //! refuse the part soon after a few crashes, whichever of them saw those.
 
 mod answers;
+mod crash;
 mod detection;
 mod evidence;
 mod hold;
@@ -15,10 +16,12 @@
 mod registry;
 
 use crate::ids::PromptPartId;
-use std::collections::BTreeSet;
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeSet, time::Duration};
+use strum::EnumIter;
 
 pub use self::{
-    evidence::{CrashId, RequestLoss},
+    crash::{CrashId, RequestLoss},
     hold::Refusal,
     news::{AnswerNews, CrashNews, HoldNews, News, Version},
     registry::{Detection, Quarantine, QuarantineSummary},
@@ -26,3 +29,17 @@
 
 /// Parts of prompts.
 pub type PartSet = BTreeSet<PromptPartId>;
+
+/// Sign that a request has not crashed its target, which clears the parts of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, EnumIter, Serialize, Deserialize)]
+pub enum LifeSign {
+    /// The first event of the answer. The target may still crash because of the request, but not
+    /// before it writes, as other targets did.
+    FirstEvent,
+    /// The answer is complete, or has gone on for [`SURVIVAL_TIME`] since its first event.
+    Survival,
+}
+
+/// Time from the first event of an answer until it shows that the request does not crash its target.
+/// A target may end soon after it has begun to write.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(300);
--- a/lib/src/quarantine/news.rs
+++ b/lib/src/quarantine/news.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are sent as ages, since the clocks of entries differ.
 
-use super::{CrashId, PartSet};
+use super::{CrashId, LifeSign, PartSet};
 use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -28,18 +28,24 @@
     pub id: CrashId,
     /// Time since the crash.
     pub age: Duration,
-    /// Parts of requests whose answers had begun.
+    /// Parts of requests whose answers had begun without any event.
     pub begun: PartSet,
+    /// Parts of requests whose first event had just arrived.
+    pub started: PartSet,
     /// Parts of requests of which no answer had begun.
     pub waiting: PartSet,
+    /// Whether the target was answering any request.
+    pub was_answering: bool,
 }
 
-/// The last answer to a request with a certain part.
+/// The last sign of life of a request with a certain part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerNews {
     /// Part of the prompt.
     pub part: PromptPartId,
-    /// Time since the answer.
+    /// What was seen of the answer.
+    pub sign: LifeSign,
+    /// Time since it was seen.
     pub age: Duration,
 }
 
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -1,20 +1,20 @@
 //! Quarantine of an entry: what it knows, what it refuses and what it tells its peers.
 
 use super::{
-    AnswerNews, CrashId, CrashNews, HoldNews, News, PartSet, Refusal, RequestLoss, Version,
-    answers::{Answer, AnswerLog},
+    AnswerNews, CrashId, CrashNews, HoldNews, LifeSign, News, PartSet, Refusal, RequestLoss,
+    Version,
+    answers::AnswerLog,
+    crash::Crash,
     detection::MIN_OTHER_ANSWERS,
-    evidence::{Crash, Evidence, extend_bounded},
+    evidence::Evidence,
     hold::{Closed, Hold, OnTrial},
 };
-use crate::{
-    forward::Progress,
-    ids::{PromptPartId, TargetId},
-};
+use crate::ids::{PromptPartId, TargetId};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Instant,
 };
+use strum::IntoEnumIterator;
 use twox_hash::XxHash64;
 
 /// Maximum number of holds; the oldest are released first.
@@ -49,7 +49,8 @@
     /// at the same time.
     spread: f64,
     version: Version,
-    pub(super) answers: AnswerLog,
+    first_events: AnswerLog,
+    survivals: AnswerLog,
     /// Times of the last `MIN_OTHER_ANSWERS` answers that this entry has seen.
     pub(super) recent_answers: VecDeque<Instant>,
     pub(super) evidence: Evidence,
@@ -63,7 +64,8 @@
         Self {
             spread: XxHash64::oneshot(0, entry.as_bytes()) as f64 / u64::MAX as f64,
             version: 0,
-            answers: AnswerLog::default(),
+            first_events: AnswerLog::default(),
+            survivals: AnswerLog::default(),
             recent_answers: VecDeque::new(),
             evidence: Evidence::default(),
             held: BTreeMap::new(),
@@ -72,10 +74,10 @@
     }
 
     /// Returns why a request with `parts` must not be sent at `now`, if that is so.
-    pub fn refusal(&self, parts: &[PromptPartId], now: Instant) -> Option<Refusal> {
+    pub fn refusal(&self, parts: &PartSet, now: Instant) -> Option<Refusal> {
         let held = self.held.iter().map(|(set, hold)| (set, hold.remaining(now)));
         let on_trial = self.on_trial.iter().map(|(set, hold)| (set, hold.remaining(now)));
-        let mut matching = held.chain(on_trial).filter(|(set, _)| contains(parts, set));
+        let mut matching = held.chain(on_trial).filter(|(set, _)| set.is_subset(parts));
         let (set, remaining) = matching.find(|(_, remaining)| !remaining.is_zero())?;
         Some(Refusal { parts: set.clone(), remaining })
     }
@@ -86,51 +88,52 @@
     /// # Errors
     ///
     /// Returns the parts with which no request may be sent if there are any.
-    pub fn begin_send(&mut self, parts: &[PromptPartId], now: Instant) -> Result<(), Refusal> {
+    pub fn begin_send(&mut self, parts: &PartSet, now: Instant) -> Result<(), Refusal> {
         self.refusal(parts, now).map_or(Ok(()), Err)?;
-        let ended = self.held.extract_if(.., |set, _| contains(parts, set));
+        let ended = self.held.extract_if(.., |set, _| set.is_subset(parts));
         self.on_trial.extend(ended.map(|(set, hold)| (set, hold.begin_trials())));
-        for (_, hold) in self.on_trial.iter_mut().filter(|(set, _)| contains(parts, set)) {
+        for (_, hold) in self.on_trial.iter_mut().filter(|(set, _)| set.is_subset(parts)) {
             hold.begin_trial(now);
         }
         Ok(())
     }
 
     /// Returns whether a request with `parts` must not stay at its target.
-    pub fn is_held(&self, parts: &[PromptPartId]) -> bool {
-        self.held.keys().any(|set| contains(parts, set))
+    pub fn is_held(&self, parts: &PartSet) -> bool {
+        self.held.keys().any(|set| set.is_subset(parts))
     }
 
-    /// Records that a target has begun to send the answer to a request with `parts`, which shows
-    /// that these do not crash it.
-    pub fn record_answer(&mut self, parts: &[PromptPartId], now: Instant) {
+    /// Records that a request with `parts` has given `sign`, which shows that these do not crash its
+    /// target.
+    pub fn record_sign(&mut self, sign: LifeSign, parts: &PartSet, now: Instant) {
         if parts.is_empty() {
             return;
         }
-        self.recent_answers.push_back(now);
-        if self.recent_answers.len() > MIN_OTHER_ANSWERS {
-            self.recent_answers.pop_front();
+        if sign == LifeSign::Survival {
+            self.recent_answers.push_back(now);
+            if self.recent_answers.len() > MIN_OTHER_ANSWERS {
+                self.recent_answers.pop_front();
+            }
         }
         for &part in parts {
-            self.apply_answer(part, now);
+            self.apply_sign(part, sign, now);
         }
     }
 
-    /// Records the loss of a request in the crash of its target at `at`, and returns the parts that
-    /// are quarantined because of it.
-    pub fn record_loss(&mut self, loss: RequestLoss, at: Instant, now: Instant) -> Vec<Detection> {
-        let (mut begun, mut waiting) = (PartSet::new(), PartSet::new());
-        match loss.progress {
-            Progress::Begun => extend_bounded(&mut begun, loss.parts),
-            Progress::Waiting => extend_bounded(&mut waiting, loss.parts),
-            Progress::Streaming => return Vec::new(),
+    /// Records requests that were lost in crashes of their targets, each with the time of its loss,
+    /// and returns the parts that are quarantined because of them.
+    pub fn record_losses(
+        &mut self,
+        losses: Vec<(RequestLoss, Instant)>,
+        now: Instant,
+    ) -> Vec<Detection> {
+        let mut renewed = Vec::new();
+        for (RequestLoss { crash: id, progress, parts }, at) in losses {
+            let mut crash = Crash::new(at, self.version + 1);
+            crash.add_loss(progress, parts);
+            self.add_crash(id.clone(), crash, now);
+            renewed.extend(self.renew_holds(&id, now));
         }
-        let version = self.version + 1;
-        let crash = Crash { at, begun, waiting, version };
-        if self.evidence.add(loss.crash.clone(), crash, now) {
-            self.version = version;
-        }
-        let renewed = self.renew_holds(&loss.crash, now);
         let mut detections = self.detect(now);
         detections.extend(renewed);
         detections
@@ -143,10 +146,14 @@
             id: id.clone(),
             age: age(crash.at),
             begun: crash.begun.clone(),
+            started: crash.started.clone(),
             waiting: crash.waiting.clone(),
+            was_answering: crash.was_answering,
+        });
+        let answers = LifeSign::iter().flat_map(|sign| {
+            let changed = self.log(sign).changed_since(version);
+            changed.map(move |(part, at)| AnswerNews { part, sign, age: age(at) })
         });
-        let answers = self.answers.changed_since(version);
-        let answers = answers.map(|(part, answer)| AnswerNews { part, age: age(answer.at) });
         let held = self.held.iter().map(|(set, hold)| (set, hold.since, hold.spell, hold.version));
         let on_trial =
             self.on_trial.iter().map(|(set, hold)| (set, hold.since, hold.spell, hold.version));
@@ -163,25 +170,20 @@
 
     /// Applies what a peer knows, and returns the parts that are quarantined because of it.
     pub fn merge(&mut self, news: News, now: Instant) -> Vec<Detection> {
-        for AnswerNews { part, age } in news.answers {
+        for AnswerNews { part, sign, age } in news.answers {
             if let Some(at) = now.checked_sub(age) {
-                self.apply_answer(part, at);
+                self.apply_sign(part, sign, at);
             }
         }
-        for CrashNews { id, age, begun, waiting } in news.crashes {
+        for CrashNews { id, age, begun, started, waiting, was_answering } in news.crashes {
             let Some(at) = now.checked_sub(age) else { continue };
             let version = self.version + 1;
-            let mut crash = Crash { at, begun: PartSet::new(), waiting: PartSet::new(), version };
-            extend_bounded(&mut crash.begun, begun);
-            extend_bounded(&mut crash.waiting, waiting);
-            if self.evidence.add(id, crash, now) {
-                self.version = version;
-            }
+            self.add_crash(id, Crash { at, begun, started, waiting, was_answering, version }, now);
         }
         let mut detections = Vec::new();
         for HoldNews { mut parts, age, spell } in news.holds {
             let Some(since) = now.checked_sub(age) else { continue };
-            parts.retain(|part| self.answers.last(*part).is_none_or(|at| at < since));
+            parts.retain(|part| self.survivals.last(*part).is_none_or(|at| at < since));
             if !parts.is_empty() && spell > self.spell(&parts) {
                 detections.push(self.hold(parts, since, spell));
             }
@@ -204,25 +206,62 @@
         self.held.len()
     }
 
-    /// Records an answer at `at`. Peers learn of it only if it clears the part of a crash or a hold.
-    fn apply_answer(&mut self, part: PromptPartId, at: Instant) {
-        let known = self.answers.get(part);
-        if known.is_some_and(|known| known.at >= at) {
+    /// Returns the last signs of life of one kind.
+    pub(super) fn log(&self, sign: LifeSign) -> &AnswerLog {
+        match sign {
+            LifeSign::FirstEvent => &self.first_events,
+            LifeSign::Survival => &self.survivals,
+        }
+    }
+
+    fn log_mut(&mut self, sign: LifeSign) -> &mut AnswerLog {
+        match sign {
+            LifeSign::FirstEvent => &mut self.first_events,
+            LifeSign::Survival => &mut self.survivals,
+        }
+    }
+
+    /// Records a sign of life at `at`. Peers learn of it only if it clears the part of a crash or a
+    /// hold.
+    fn apply_sign(&mut self, part: PromptPartId, sign: LifeSign, at: Instant) {
+        if self.log(sign).last(part).is_some_and(|known| known >= at) {
             return;
         }
-        let released = self.clear(part, at);
-        let clears = self.evidence.involves(part, known.map(|known| known.at), at);
-        let mut version = known.map_or(0, |known| known.version);
-        if released || clears {
-            self.version += 1;
-            version = self.version;
+        self.log_mut(sign).insert(part, at);
+        let released = sign == LifeSign::Survival && self.release(part, at);
+        let cleared = self.evidence.clear(part, sign, at);
+        if released || cleared {
+            self.publish_sign(part, sign);
+        }
+    }
+
+    fn publish_sign(&mut self, part: PromptPartId, sign: LifeSign) {
+        self.version += 1;
+        let version = self.version;
+        self.log_mut(sign).publish(part, version);
+    }
+
+    /// Adds what is known of a crash, without the parts that gave signs of life after it. Those who
+    /// reported the crash may not know of these.
+    fn add_crash(&mut self, id: CrashId, mut crash: Crash, now: Instant) {
+        let at = self.evidence.crash_time(&id, crash.at);
+        for sign in LifeSign::iter() {
+            let is_alive =
+                |part: &PromptPartId| self.log(sign).last(*part).is_some_and(|it| it >= at);
+            let alive: Vec<PromptPartId> = crash.parts().filter(is_alive).collect();
+            for part in alive.into_iter().filter(|part| crash.clear(*part, sign)) {
+                self.publish_sign(part, sign);
+            }
+        }
+        let version = self.version + 1;
+        if self.evidence.add(id, Crash { version, ..crash }, now) {
+            self.version = version;
         }
-        self.answers.insert(part, Answer { at, version });
     }
 
     /// Removes `part`, which was answered at `at`, from the holds that began before, and returns
     /// whether there were any.
-    fn clear(&mut self, part: PromptPartId, at: Instant) -> bool {
+    fn release(&mut self, part: PromptPartId, at: Instant) -> bool {
         let held = self.held.extract_if(.., |set, hold| set.contains(&part) && hold.since < at);
         let mut held: Vec<_> = held.collect();
         let on_trial =
@@ -240,8 +279,8 @@
 
     /// Holds again the parts on trial that were lost in the crash `id`.
     fn renew_holds(&mut self, id: &CrashId, now: Instant) -> Vec<Detection> {
-        let begun = self.evidence.begun_parts(id);
-        let involved = self.on_trial.keys().filter(|set| set.is_subset(&begun));
+        let is_involved = |set: &&PartSet| self.evidence.crashed_while_answering(id, set);
+        let involved = self.on_trial.keys().filter(is_involved);
         let involved: Vec<PartSet> = involved.cloned().collect();
         let renew = |set: PartSet| {
             let spell = self.spell(&set) + 1;
@@ -274,8 +313,3 @@
         held.or_else(|| self.on_trial.get(set).map(|hold| hold.spell)).unwrap_or(0)
     }
 }
-
-/// Returns whether a request with `parts` has all parts of `set`.
-fn contains(parts: &[PromptPartId], set: &PartSet) -> bool {
-    set.iter().all(|part| parts.contains(part))
-}
--- a/lib/tests/quarantine/detection.rs
+++ b/lib/tests/quarantine/detection.rs
@@ -1,25 +1,32 @@
 //! Tests of which part is held responsible for crashes.
 
-use crate::fixture::{CRASHING, CRASHING_TOO, FIRST, Fixture, INTERVAL, SILENCE, SOUND};
-use fulmarhead_lib::{forward::Progress, ids::PromptPartId};
+use crate::fixture::{CRASHING, CRASHING_TOO, FIRST, Fixture, INTERVAL, SILENCE, SOUND, part_set};
+use fulmarhead_lib::{forward::Progress, ids::PromptPartId, quarantine::LifeSign};
 use std::time::Duration;
 use testutils::cases;
 
 /// Number of crashes in a row from which a part must be refused: one fewer than callers allow.
 const CRASHES: usize = 4;
 
+/// The same if the targets crash after the first event, which is weaker evidence.
+const EVENT_CRASHES: usize = 6;
+
 /// Something that one entry sees.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// A target crashes as it begins to answer a request with these parts.
     Crash(&'static [PromptPartId]),
+    /// A target crashes soon after the first event of a request with these parts.
+    CrashAfterEvent(&'static [PromptPartId]),
     /// A target crashes while requests with these parts wait for their answers.
     CrashWhileWaiting(&'static [PromptPartId]),
     /// A request with these parts is answered.
     Answer(&'static [PromptPartId]),
+    /// The target that has just crashed was beginning to answer another request with these parts.
+    CrashOfSameTarget(&'static [PromptPartId]),
     Wait(Duration),
 }
-use Step::{Answer, Crash, CrashWhileWaiting, Wait};
+use Step::{Answer, Crash, CrashAfterEvent, CrashOfSameTarget, CrashWhileWaiting, Wait};
 
 /// Repeats `steps` `CRASHES` times, with `INTERVAL` between the repetitions, and checks which of
 /// `requests` are sent afterwards.
@@ -38,6 +45,13 @@
         for step in steps {
             match *step {
                 Crash(parts) => fixture.crash(0, parts),
+                CrashAfterEvent(parts) => {
+                    fixture.sign(0, LifeSign::FirstEvent, parts);
+                    fixture.crash_of(1_000 + round, 0, Progress::Started, parts);
+                }
+                CrashOfSameTarget(parts) => {
+                    fixture.crash_of(1_000 + round, 0, Progress::Begun, parts);
+                }
                 CrashWhileWaiting(parts) => {
                     fixture.crash_of(1_000 + round, 0, Progress::Waiting, parts);
                 }
@@ -111,6 +125,22 @@
             &[Answer(&[FIRST]), Answer(&[FIRST]), Crash(&[FIRST, CRASHING])],
             &[(&[FIRST, CRASHING], true), (&[FIRST], false)],
         ),
+        /// Guards against targets that crash soon after they have begun to write.
+        crashes_after_the_first_event: (
+            EVENT_CRASHES + 1, Duration::from_secs(1),
+            &[Answer(&[FIRST]), Answer(&[FIRST]), CrashAfterEvent(&[FIRST, CRASHING])],
+            &[(&[FIRST, CRASHING], true), (&[FIRST], false)],
+        ),
+        /// Guards against a part that goes unnoticed because other requests of the same targets had
+        /// begun as well.
+        crashes_after_the_first_event_beside_others: (
+            EVENT_CRASHES + 1, Duration::from_secs(1),
+            &[
+                Answer(&[FIRST, SOUND]), Answer(&[FIRST]), CrashAfterEvent(&[FIRST, CRASHING]),
+                CrashOfSameTarget(&[FIRST, SOUND]),
+            ],
+            &[(&[FIRST, CRASHING], true), (&[FIRST, SOUND], false)],
+        ),
         /// Guards against targets that crash before they send the head of an answer.
         crashes_before_any_head: (
             2 * CRASHES + 1, Duration::from_secs(1),
@@ -167,6 +197,62 @@
         fixture.clock.advance(INTERVAL);
     }
     let now = fulmarhead_lib::clock::Clock::now(&fixture.clock);
-    assert!(fixture.entries[0].is_suspected(&[FIRST, CRASHING], now));
-    assert!(!fixture.entries[0].is_suspected(&[FIRST], now));
+    assert!(fixture.entries[0].is_suspected(&part_set(&[FIRST, CRASHING]), now));
+    assert!(!fixture.entries[0].is_suspected(&part_set(&[FIRST]), now));
 }
+
+/// Number of parts of the longest prompts, as many as fit a head of 16 KiB.
+const MANY_PARTS: u64 = 2_700;
+
+/// Sends requests with `MANY_PARTS` parts, of which the one at `position` crashes targets, and
+/// checks that only that part is held. All others are `answered` in between, or are new each time.
+fn check_long_prompt(position: u64, answered: bool) {
+    let mut fixture = Fixture::new(2);
+    for round in 0..CRASHES as u64 {
+        let first = if answered { 0x10_0000 } else { 0x10_0000 * (round + 1) };
+        let mut parts: Vec<PromptPartId> = (first..first + MANY_PARTS).collect();
+        fixture.answer(0, &[FIRST]);
+        fixture.answer(0, if answered { &parts } else { &[SOUND] });
+        parts[position as usize] = CRASHING;
+        fixture.crash(0, &parts);
+        fixture.clock.advance(INTERVAL);
+    }
+    fixture.exchange_all();
+    for entry in 0..2 {
+        assert!(!fixture.allows(entry, &[FIRST, CRASHING]), "entry {entry}");
+        assert!(fixture.allows(entry, &[FIRST, 0x10_0000, 0x10_0001]), "entry {entry}");
+    }
+}
+
+cases! {
+    check_long_prompt {
+        /// Guards against a part that is not found because of its place in a long prompt.
+        seventeenth_part: (16, true),
+        last_shared_part: (MANY_PARTS - 1, true),
+        /// Guards against the loss of the part among others that were never answered.
+        first_of_unknown_parts: (0, false),
+        last_of_unknown_parts: (MANY_PARTS - 1, false),
+    }
+}
+
+/// Guards against work that grows with the square of the parts of a prompt: many long prompts are
+/// lost in each of several crashes.
+#[test]
+#[expect(clippy::disallowed_methods, reason = "measures real time")]
+fn long_prompts_are_cheap() {
+    let began = std::time::Instant::now();
+    let mut fixture = Fixture::new(1);
+    for crash in 0..8 {
+        for request in 0..16 {
+            let first = 0x10_0000 * (request + 1);
+            let parts: Vec<PromptPartId> = (first..first + MANY_PARTS).collect();
+            fixture.crash_of(crash, 0, Progress::Waiting, &parts);
+        }
+        fixture.clock.advance(Duration::from_secs(1));
+    }
+    let elapsed = began.elapsed();
+    assert!(elapsed < LONG_PROMPTS_LIMIT, "took {elapsed:?}");
+}
+
+/// Bound on the time of `long_prompts_are_cheap`; quadratic work would take minutes.
+const LONG_PROMPTS_LIMIT: Duration = Duration::from_secs(30);
--- a/lib/tests/quarantine/fixture.rs
+++ b/lib/tests/quarantine/fixture.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     forward::Progress,
     ids::PromptPartId,
-    quarantine::{CrashId, Quarantine, RequestLoss, Version},
+    quarantine::{CrashId, LifeSign, PartSet, Quarantine, RequestLoss, Version},
 };
 use std::time::Duration;
 use testutils::ManualClock;
@@ -36,6 +36,10 @@
     crashes: usize,
 }
 
+pub(crate) fn part_set(parts: &[PromptPartId]) -> PartSet {
+    parts.iter().copied().collect()
+}
+
 impl Fixture {
     /// Returns `count` entries that know nothing.
     pub(crate) fn new(count: usize) -> Self {
@@ -63,18 +67,25 @@
         parts: &[PromptPartId],
     ) {
         let crash = CrashId { target: format!("t{number}"), started_at: None };
-        let (now, parts) = (self.clock.now(), parts.to_vec());
-        self.entries[entry].record_loss(RequestLoss { crash, progress, parts }, now, now);
+        let (now, parts) = (self.clock.now(), part_set(parts));
+        let loss = RequestLoss { crash, progress, parts };
+        self.entries[entry].record_losses(vec![(loss, now)], now);
     }
 
     /// Records that a request with `parts` was answered at `entry`.
     pub(crate) fn answer(&mut self, entry: usize, parts: &[PromptPartId]) {
-        self.entries[entry].record_answer(parts, self.clock.now());
+        self.sign(entry, LifeSign::FirstEvent, parts);
+        self.sign(entry, LifeSign::Survival, parts);
+    }
+
+    /// Records a sign of life of a request with `parts` at `entry`.
+    pub(crate) fn sign(&mut self, entry: usize, sign: LifeSign, parts: &[PromptPartId]) {
+        self.entries[entry].record_sign(sign, &part_set(parts), self.clock.now());
     }
 
     /// Returns whether `entry` would send a request with `parts`.
     pub(crate) fn allows(&self, entry: usize, parts: &[PromptPartId]) -> bool {
-        self.entries[entry].refusal(parts, self.clock.now()).is_none()
+        self.entries[entry].refusal(&part_set(parts), self.clock.now()).is_none()
     }
 
     /// Sends what entry `from` knows to entry `to`, as differences.
--- a/lib/tests/quarantine/holds.rs
+++ b/lib/tests/quarantine/holds.rs
@@ -1,6 +1,6 @@
 //! Tests of how long parts are held, and of their way back.
 
-use crate::fixture::{CRASHING, FIRST, Fixture, INTERVAL};
+use crate::fixture::{CRASHING, FIRST, Fixture, INTERVAL, part_set};
 use fulmarhead_lib::clock::Clock;
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 
 fn begin_send(fixture: &mut Fixture, entry: usize) -> bool {
     let now = fixture.clock.now();
-    fixture.entries[entry].begin_send(&[FIRST, CRASHING], now).is_ok()
+    fixture.entries[entry].begin_send(&part_set(&[FIRST, CRASHING]), now).is_ok()
 }
 
 /// Guards against a part that comes back with many requests at once, and against one that never
--- a/lib/tests/quarantine/ordinary.rs
+++ b/lib/tests/quarantine/ordinary.rs
@@ -4,8 +4,7 @@
 use fulmarhead_lib::{
     clock::Clock,
     forward::Progress,
-    ids::PromptPartId,
-    quarantine::{CrashId, Quarantine, RequestLoss},
+    quarantine::{CrashId, LifeSign, PartSet, Quarantine, RequestLoss, SURVIVAL_TIME},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +22,9 @@
 /// Number of parts that requests share; the first of them are in most requests.
 const PARTS: f64 = 60.0;
 
+/// Number of sessions whose requests share a part with each other alone.
+const SESSIONS: u64 = 400;
+
 /// Longest wait for the head of an answer, in seconds, with queues after a crash.
 const MAX_WAIT: f64 = 0.3;
 
@@ -49,7 +51,7 @@
 /// What the entries see of one request.
 #[derive(Clone, Debug)]
 enum Event {
-    Answered(Vec<PromptPartId>),
+    Sign(LifeSign, PartSet),
     Lost(RequestLoss),
 }
 
@@ -107,7 +109,7 @@
 
 /// Returns the events of a request that arrives at `at`, with their times.
 fn play_request(
-    parts: &[PromptPartId],
+    parts: &PartSet,
     mut at: f64,
     outages: &[Outage],
     random: &mut ChaCha8Rng,
@@ -128,17 +130,20 @@
         let end = event_at + random.random_range(0.1..MAX_ANSWER);
         let crashes = outages.iter().filter(|it| it.target == target && it.at > at && it.at < end);
         let crash = crashes.map(|it| it.at).min_by(f64::total_cmp);
-        if crash.is_none_or(|crash| crash >= event_at) {
-            events.push((event_at, Event::Answered(parts.to_vec())));
+        let survived_at = end.min(event_at + SURVIVAL_TIME.as_secs_f64());
+        let signs = [(event_at, LifeSign::FirstEvent), (survived_at, LifeSign::Survival)];
+        for (at, sign) in signs.into_iter().filter(|(at, _)| crash.is_none_or(|it| it >= *at)) {
+            events.push((at, Event::Sign(sign, parts.clone())));
         }
         let Some(crash) = crash else { break };
         let progress = match crash {
             crash if crash < head_at => Progress::Waiting,
             crash if crash < event_at => Progress::Begun,
+            crash if crash < survived_at => Progress::Started,
             _ => Progress::Streaming,
         };
         let crash_id = CrashId { target: format!("t{target} at {crash}"), started_at: None };
-        let loss = RequestLoss { crash: crash_id, progress, parts: parts.to_vec() };
+        let loss = RequestLoss { crash: crash_id, progress, parts: parts.clone() };
         events.push((crash, Event::Lost(loss)));
         at = crash + 0.005;
     }
@@ -153,9 +158,11 @@
     let mut at = 0.0;
     while at < DAY {
         at += -(1.0 - random.random::<f64>()).ln() / RATE;
-        let part = PARTS.powf(random.random::<f64>()) as PromptPartId;
-        let second = 1_000 + PARTS.powf(random.random::<f64>()) as PromptPartId;
-        events.extend(play_request(&[part, second], at, &outages, &mut random));
+        let part = PARTS.powf(random.random::<f64>()) as u64;
+        let second = 1_000 + PARTS.powf(random.random::<f64>()) as u64;
+        let session = 2_000 + random.random_range(0..SESSIONS);
+        let parts = PartSet::from([part, second, session]);
+        events.extend(play_request(&parts, at, &outages, &mut random));
     }
     events.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     let clock = ManualClock::default();
@@ -166,8 +173,8 @@
         last = at;
         let now = clock.now();
         match event {
-            Event::Answered(parts) => quarantine.record_answer(&parts, now),
-            Event::Lost(loss) => holds += quarantine.record_loss(loss, now, now).len(),
+            Event::Sign(sign, parts) => quarantine.record_sign(sign, &parts, now),
+            Event::Lost(loss) => holds += quarantine.record_losses(vec![(loss, now)], now).len(),
         }
     }
     holds
