gateway, lib: keep missing targets only if the list could not be confirmed

Cause: a failed call of one entry counted as an outage of the store, and the grace period of a target began when it disappeared. Evidence: the log of such a run has "list of targets changed" within 5 ms of the removal, with targets=2 unsettled=true; a late list is ruled out.

Entries lapse after three heartbeats of silence, so not within two heartbeats without the store. ListRecovery counts an outage only if no entry could confirm the list for that long, and the grace period ends 2.3 s after the recovery, whenever a target disappears. This also ends it before the entry is in touch again, and a compacted history no longer counts as an outage.

The test missing_after_grace asked for 3 s after a grace period of 2.3 s; the period is now an argument, and the test asks at its very end.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
     membership::{EntryInfo, Link, Roster},
     placement::{Choice, ConnectionId, Notice, NoticeEffect, Pool},
     quarantine::Quarantine,
-    replica::Replica,
+    replica::{ListRecovery, Replica},
     routes::{CallerLimits, Denial, RouteMatch, RouteTable, Service},
 };
 use fulmarhead_platform::{NodeSettings, OrderClient, StoreClient};
@@ -27,7 +27,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::sync::watch;
 
@@ -83,8 +83,7 @@
     pub(crate) config_replica: Replica,
     /// Replica of the list of targets.
     pub(crate) target_list: Replica,
-    /// Time of the last failed read of the list of targets.
-    pub(crate) list_failed_at: Option<Instant>,
+    pub(crate) list_recovery: ListRecovery,
     /// Transfers from peers of parts of the store of which a peer has a newer revision.
     pub(crate) fetches: BTreeMap<StorePart, Fetch>,
     /// Active configuration; `None` before the first.
@@ -103,7 +102,7 @@
         let state = GatewayState {
             config_replica: Replica::default(),
             target_list: Replica::default(),
-            list_failed_at: None,
+            list_recovery: ListRecovery::new(settings.heartbeat),
             fetches: BTreeMap::new(),
             table: None,
             pool: Pool::new(settings.zone.clone(), settings.start_bound),
--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -209,7 +209,7 @@
             // A replica that is at least as recent as the peer's contains everything that was
             // confirmed for the peer's.
             if let (Some(age), true) = (status.age, replica.revision() >= status.revision) {
-                replica.confirm(requested_at.saturating_sub(age));
+                part.confirm(&mut state, requested_at.saturating_sub(age));
             }
         }
         drop(state);
--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -8,22 +8,9 @@
 };
 use fulmarhead_platform::{decode_config, decode_member, evacuated_zones};
 use log::{info, warn};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
-
-/// Time after a failed read of the list of targets during which a new list may be incomplete. A
-/// target that is missing from it is not drained, but stays usable for a grace period; live targets
-/// are listed again about two seconds after the store recovers.
-const LIST_RECOVERY_TIME: Duration = Duration::from_millis(2_500);
+use std::{collections::BTreeMap, sync::Arc};
 
 impl Gateway {
-    /// Records a failed call to the store. For `LIST_RECOVERY_TIME` after a failed read of the list
-    /// of targets, a target that is missing from a new list is not drained immediately.
-    pub(crate) fn record_store_failure(&self, part: StorePart) {
-        if part == StorePart::Members {
-            self.state().list_failed_at = Some(self.clock.now());
-        }
-    }
-
     /// Activates the current contents of the replica of `part`.
     ///
     /// A configuration that is invalid or not newer than the active one is ignored.
@@ -73,11 +60,10 @@
                 }
             }
         }
-        let failed_at = state.list_failed_at;
-        let unsettled =
-            failed_at.is_some_and(|at| now.saturating_duration_since(at) <= LIST_RECOVERY_TIME);
+        let missing_grace = state.list_recovery.remaining(self.clock.uptime());
         let (targets, revision) = (members.len(), state.target_list.revision());
-        info!(target: "decision", targets, revision, unsettled; "list of targets changed");
-        state.pool.update_members(members, unsettled, now);
+        let grace_ms = missing_grace.as_millis() as u64;
+        info!(target: "decision", targets, revision, grace_ms; "list of targets changed");
+        state.pool.update_members(members, missing_grace, now);
     }
 }
--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -105,6 +105,14 @@
             Self::Members => &mut state.target_list,
         }
     }
+
+    /// Records that the replica of the part was up to date at the uptime `at`.
+    pub(crate) fn confirm(self, state: &mut GatewayState, at: Duration) {
+        self.replica(state).confirm(at);
+        if self == Self::Members {
+            state.list_recovery.confirm(at);
+        }
+    }
 }
 
 /// Keeps the replica of `part` current until `stop` is cancelled.
@@ -153,7 +161,6 @@
             }
             Err(_) => {}
         }
-        gateway.record_store_failure(part);
         metrics::counter!("fulmarhead_store_failures_total", "part" => <&str>::from(part))
             .increment(1);
         sleep(retry_delay).await;
@@ -208,7 +215,7 @@
     let mut state = gateway.state();
     let replica = part.replica(&mut state);
     if replica.load_snapshot(snapshot.revision, snapshot.items) {
-        replica.confirm(requested_at);
+        part.confirm(&mut state, requested_at);
     }
     drop(state);
     gateway.activate(part);
@@ -248,7 +255,7 @@
     let mut state = gateway.state();
     let replica = part.replica(&mut state);
     replica.apply(response.revision, response.changes);
-    replica.confirm(requested_at);
+    part.confirm(&mut state, requested_at);
     state.fetches.remove(&part);
     drop(state);
     if changed {
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -53,18 +53,20 @@
 
     /// Replaces the list of targets.
     ///
-    /// If `list_was_unavailable` recently, a target that is missing from the list remains usable
-    /// for a grace period. Otherwise a missing target is drained.
+    /// A target that is missing from the list remains usable for `missing_grace`, during which it
+    /// may be live; if that is zero, it is drained.
     pub fn update_members(
         &mut self,
         members: BTreeMap<TargetId, Member>,
-        list_was_unavailable: bool,
+        missing_grace: Duration,
         now: Instant,
     ) {
         for (id, target) in &mut self.targets {
             match members.get(id) {
                 Some(member) => target.update_member(member),
-                None if list_was_unavailable => drop(target.missing_since.get_or_insert(now)),
+                None if !missing_grace.is_zero() => {
+                    target.missing_until = Some(now + missing_grace)
+                }
                 None => target.member.state = MemberState::Draining,
             }
         }
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -175,7 +175,7 @@
             && target.member.state == MemberState::Ready
             && !self.notices.is_leaving(id, target.member.started_at)
             && !self.excluded_zones.contains(&target.member.zone)
-            && (target.missing_since.is_none() || target.is_in_grace(now))
+            && (target.missing_until.is_none() || target.is_in_grace(now))
     }
 
     fn score(
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -9,18 +9,14 @@
 use std::time::{Duration, Instant};
 use twox_hash::XxHash64;
 
-/// Time for which a target that disappeared around an outage of the list remains usable. A live
-/// target is listed again about two seconds after the list returns.
-const MISSING_GRACE: Duration = Duration::from_millis(2_300);
-
 /// State that this entry keeps for a target.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
     pub(super) member: Member,
     /// Hash of the identifier: a sort key that is the same at all entries and mixes the zones.
     pub(super) order_key: u64,
-    /// Time at which the target disappeared from the list around an outage.
-    pub(super) missing_since: Option<Instant>,
+    /// Time until which the target is usable although it is missing from the list.
+    pub(super) missing_until: Option<Instant>,
     /// Work that this entry has in flight at the target.
     pub(super) in_flight: InFlight,
     pub(super) health: Health,
@@ -38,7 +34,7 @@
         Self {
             member,
             order_key,
-            missing_since: None,
+            missing_until: None,
             in_flight,
             health,
             recent_starts,
@@ -53,12 +49,12 @@
             self.health = Health::default();
         }
         self.member = member.clone();
-        self.missing_since = None;
+        self.missing_until = None;
     }
 
     /// Returns whether a target that is missing from the list is still within the grace period.
     pub(super) fn is_in_grace(&self, now: Instant) -> bool {
-        self.missing_since.is_some_and(|at| now.saturating_duration_since(at) < MISSING_GRACE)
+        self.missing_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether the state of a target that is not on the list can be removed.
--- a/lib/src/replica/mod.rs
+++ b/lib/src/replica/mod.rs
@@ -3,8 +3,10 @@
 
 mod copy;
 mod freshness;
+mod recovery;
 
 pub use self::{
     copy::{Change, Delta, Item, Replica},
     freshness::Freshness,
+    recovery::ListRecovery,
 };
--- a/lib/tests/load/fleet.rs
+++ b/lib/tests/load/fleet.rs
@@ -89,7 +89,7 @@
         let pools = (0..entries).map(|entry| {
             let bound = StartBound { rate_factor: 1.5, extra_starts: 5.0 };
             let mut pool = Pool::new(format!("z{}", entry % zones), bound);
-            pool.update_members(members.clone(), false, clock.now());
+            pool.update_members(members.clone(), Duration::ZERO, clock.now());
             pool
         });
         Self {
--- a/lib/tests/placement/availability.rs
+++ b/lib/tests/placement/availability.rs
@@ -11,7 +11,7 @@
 /// the list.
 fn check_membership(
     change: fn(&mut BTreeMap<String, Member>),
-    list_was_unavailable: bool,
+    missing_grace: Duration,
     after: Duration,
     expected: bool,
 ) {
@@ -19,7 +19,7 @@
     let mut list = members(&[1]);
     change(&mut list);
     let now = fixture.now();
-    fixture.pool.update_members(list, list_was_unavailable, now);
+    fixture.pool.update_members(list, missing_grace, now);
     fixture.clock.advance(after);
     let chosen = fixture.choose(&latency_sensitive()).map(|choice| choice.target);
     assert_eq!(chosen, if expected { Ok("t1".into()) } else { Err(PlacementError::NoTarget) });
@@ -75,16 +75,18 @@
 
 cases! {
     check_membership {
-        unchanged: (|_| (), false, Duration::ZERO, true),
+        unchanged: (|_| (), Duration::ZERO, Duration::ZERO, true),
         /// Guards against sending requests to a target that is shutting down.
-        draining: (drain, false, Duration::ZERO, false),
+        draining: (drain, Duration::ZERO, Duration::ZERO, false),
         /// Guards against sending requests to a target that was removed from the list while the
         /// store was available.
-        removed: (remove, false, Duration::ZERO, false),
+        removed: (remove, Duration::ZERO, Duration::ZERO, false),
         /// Guards against having no usable targets right after the store returns from an outage.
-        missing_after_outage: (remove, true, SECOND, true),
+        missing_after_outage: (remove, 2 * SECOND, SECOND, true),
+        /// Guards against sending requests to a draining target because the list was unavailable.
+        draining_after_outage: (drain, 2 * SECOND, SECOND, false),
         /// Guards against keeping a missing target indefinitely.
-        missing_after_grace: (remove, true, 3 * SECOND, false),
+        missing_after_grace: (remove, 2 * SECOND, 2 * SECOND, false),
     }
 
     check_start_rate {
--- a/lib/tests/placement/choice.rs
+++ b/lib/tests/placement/choice.rs
@@ -63,7 +63,7 @@
     let choose = |zone: &str| {
         let clock = ManualClock::default();
         let mut pool = Pool::new(zone.into(), START_BOUND);
-        pool.update_members(members(&[1, 2, 3, 4, 5, 6]), false, clock.now());
+        pool.update_members(members(&[1, 2, 3, 4, 5, 6]), Duration::ZERO, clock.now());
         let choice = pool
             .choose(&service(0.0), &latency_sensitive(), &[], Backoff::Respect, 3, clock.now())
             .unwrap();
--- a/lib/tests/placement/fixture.rs
+++ b/lib/tests/placement/fixture.rs
@@ -66,7 +66,7 @@
     pub(crate) fn new(numbers: &[u8]) -> Self {
         let clock = ManualClock::default();
         let mut pool = Pool::new("z0".into(), START_BOUND);
-        pool.update_members(members(numbers), false, clock.now());
+        pool.update_members(members(numbers), Duration::ZERO, clock.now());
         Self { clock, pool, service: service(0.0) }
     }
 
--- a/lib/tests/placement/notices.rs
+++ b/lib/tests/placement/notices.rs
@@ -29,12 +29,12 @@
 
 fn reload(fixture: &mut Fixture) {
     let now = fixture.now();
-    fixture.pool.update_members(members(&[1]), false, now);
+    fixture.pool.update_members(members(&[1]), Duration::ZERO, now);
 }
 
 fn lapse_and_return(fixture: &mut Fixture) {
     let now = fixture.now();
-    fixture.pool.update_members(members(&[]), false, now);
+    fixture.pool.update_members(members(&[]), Duration::ZERO, now);
     reload(fixture);
 }
 
@@ -57,7 +57,7 @@
         let mut list = members(&[1]);
         list.get_mut("t1").unwrap().started_at = Some(SystemTime::UNIX_EPOCH + SECOND);
         let now = fixture.now();
-        fixture.pool.update_members(list, false, now);
+        fixture.pool.update_members(list, Duration::ZERO, now);
         assert_eq!(
             fixture.choose(&latency_sensitive()).map(|choice| choice.target),
             Ok("t1".into())
@@ -72,7 +72,7 @@
     let mut list = members(&[1]);
     list.get_mut("t1").unwrap().started_at = Some(SystemTime::UNIX_EPOCH + SECOND);
     let now = fixture.now();
-    fixture.pool.update_members(list, false, now);
+    fixture.pool.update_members(list, Duration::ZERO, now);
     fixture.pool.record_notice(&choice, LEAVING, now);
     assert!(fixture.choose(&latency_sensitive()).is_ok());
 }
@@ -143,6 +143,6 @@
     let mut list = members(&[1]);
     list.get_mut("t1").unwrap().state = MemberState::Draining;
     let now = fixture.now();
-    fixture.pool.update_members(list, false, now);
+    fixture.pool.update_members(list, Duration::ZERO, now);
     assert_eq!(fixture.choose(&latency_sensitive()), Err(PlacementError::NoTarget));
 }
--- a/lib/tests/replica.rs
+++ b/lib/tests/replica.rs
@@ -1,6 +1,6 @@
 //! Tests of copies of the store, their freshness and the deltas between entries.
 
-use fulmarhead_lib::replica::{Change, Freshness, Item, Replica};
+use fulmarhead_lib::replica::{Change, Freshness, Item, ListRecovery, Replica};
 use quickcheck::{Gen, QuickCheck};
 use std::time::Duration;
 use testutils::cases;
@@ -38,7 +38,33 @@
     assert_eq!(within, expected);
 }
 
+/// Checks for how many milliseconds from `now` on targets may be missing from a list that was
+/// confirmed at these times, in milliseconds. Their entries lapse after 2,400 ms at the earliest.
+fn check_recovery(confirmed: &[u64], now: u64, expected: u64) {
+    let mut recovery = ListRecovery::new(Duration::from_millis(1_200));
+    for &at in confirmed {
+        recovery.confirm(Duration::from_millis(at));
+    }
+    assert_eq!(recovery.remaining(Duration::from_millis(now)), Duration::from_millis(expected));
+}
+
 cases! {
+    check_recovery {
+        never_read: (&[], 5_000, 0),
+        steady: (&[1_000, 2_000, 3_000], 3_500, 0),
+        /// Guards against targets that are used after they have left, because of a cut that is too
+        /// short for entries to lapse.
+        short_cut: (&[1_000, 3_300], 3_400, 0),
+        /// Guards against having no targets when the store returns.
+        during_an_outage: (&[1_000], 5_000, 2_300),
+        after_an_outage: (&[1_000, 5_000], 5_100, 2_200),
+        /// Guards against a grace period that each new list prolongs.
+        later_lists: (&[1_000, 5_000, 5_600, 6_200], 6_300, 1_000),
+        recovery_is_over: (&[1_000, 5_000, 5_600, 6_200, 6_800, 7_300], 7_300, 0),
+        /// Guards against an outage that a late report of an earlier confirmation seems to show.
+        late_confirmation: (&[3_000, 500, 4_000], 4_100, 0),
+    }
+
     check_apply {
         no_changes: (vec![], &[("a", 3), ("b", 5)]),
         write: (vec![written("a", 7)], &[("a", 7), ("b", 5)]),
