platform, runtime: tests for responses that stop in the middle of their head

Operators of similar systems saw a 200 with an empty or short body, framed as whole, when a worker stopped in the middle of its answer's head.

Not covered by this: a head that is complete, of a body without a length, and a connection that ends at once.

--- a/runtime/tests/client.rs
+++ b/runtime/tests/client.rs
@@ -57,3 +57,31 @@
     }
     assert_eq!(statuses, [503, 200]);
 }
+
+/// Starts a server that ends its connections after each byte of `ANSWER` but the last in turn.
+async fn start_stopping_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for end in 0..ANSWER.len() {
+            let (mut connection, _) = listener.accept().await.unwrap();
+            let _ = connection.read(&mut [0; 4096]).await;
+            connection.write_all(&ANSWER[..end]).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against a response that stops in the middle of its head, or of its body, and is taken for
+/// a whole one or for a request that was not sent.
+#[tokio::test]
+async fn stopped_response_is_an_error() {
+    let endpoint = Endpoint::new(start_stopping_server().await, "/");
+    let client = Client::without_pool();
+    for end in 0..ANSWER.len() {
+        let called =
+            client.call(Method::POST, &endpoint, Bytes::new(), Duration::from_secs(5)).await;
+        let is_unsent = called.map_err(|error| error.is_unsent());
+        assert_eq!(is_unsent, Err(false), "after {end} bytes");
+    }
+}
