gateway, lib: refuse requests that might not end before the process does

In a planned stop, a request of which a part was sent before SIGTERM and the rest late in the grace time was taken and passed on, and cut without an answer as the process ended, also an order.

Cause: a connection in the middle of a request is left to finish it, and nothing compared the time that the request may take with the time left. Ruled out: connections on which nothing was sent; they are closed after 2.6 s.

StopSchedule takes a request if its own time limit ends before the abort. Others are taken only if they may be repeated and the load balancer may still send connections, in the first 2.6 s; the rest gets 503 "stopping", not run, and the connection is closed.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 };
 use fulmarhead_lib::{
     clock::SharedClock,
-    forward::Failure,
+    forward::{Failure, StopSchedule},
     ids::ServiceId,
     limits::SharedRetryBudget,
     membership::{EntryInfo, Link, Roster},
@@ -91,7 +91,8 @@
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: BTreeMap<ServiceId, SharedRetryBudget>,
     pub(crate) quarantine: Quarantine,
-    pub(crate) stopping: bool,
+    /// Schedule of the stop, once it has begun.
+    pub(crate) stop: Option<StopSchedule>,
 }
 
 impl Gateway {
@@ -108,7 +109,7 @@
             pool: Pool::new(settings.zone.clone(), settings.start_bound),
             retry_budgets: BTreeMap::new(),
             quarantine: Quarantine::new(&settings.vm_name),
-            stopping: false,
+            stop: None,
         };
         let info = EntryInfo { zone: settings.zone.clone(), cpu_millis: settings.cpu_millis };
         let roster = Roster::new(settings.control_address, info, &settings.seeds, clock.now());
@@ -262,8 +263,10 @@
         self.peer_updates.send_modify(|count| *count += 1);
     }
 
-    /// Records that the process is stopping; responses then close their connections.
+    /// Records that the process is stopping; responses then close their connections, and requests that
+    /// might not end in time are refused.
     pub(crate) fn begin_stop(&self) {
-        self.state().stopping = true;
+        let schedule = StopSchedule::new(self.clock.now(), self.settings.termination_grace);
+        self.state().stop = Some(schedule);
     }
 }
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -129,9 +129,8 @@
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let stopping = gateway.state().stopping;
-    let mut response = respond(gateway, request).await;
-    if stopping {
+    let mut response = respond(Arc::clone(&gateway), request).await;
+    if gateway.state().stop.is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
@@ -158,6 +157,11 @@
         Ok(body) => body,
         Err(status) => return problem_response(status, "body", "not_run"),
     };
+    let now = gateway.clock.now();
+    let stop = gateway.state().stop;
+    if stop.is_some_and(|stop| !stop.admits(route_match.route.retry_policy, deadline, now)) {
+        return refuse_unsent(&gateway, &head, Failure::Stopping, received_at);
+    }
     let context = RequestContext {
         profile: request_profile(&head, &route_match),
         streaming: route_match.route.streaming,
@@ -187,10 +191,7 @@
         SelectError::Denied(Denial::NoRoute) => StatusCode::NOT_FOUND,
         SelectError::Denied(Denial::UnknownKey) => StatusCode::UNAUTHORIZED,
         SelectError::Unavailable(failure) => {
-            let failure_outcome = FailureOutcome::NotRun(failure);
-            let elapsed = gateway.clock.now().saturating_duration_since(received_at);
-            record::request_failed(&head.request_id, failure_outcome, elapsed);
-            return refusal_response(failure_outcome, DEFAULT_RETRY_DELAY);
+            return refuse_unsent(gateway, head, failure, received_at);
         }
     };
     let version = *gateway.config_version.borrow();
@@ -199,6 +200,19 @@
     problem_response(status, &reason, "not_run")
 }
 
+/// Refuses a request that was sent to no target.
+fn refuse_unsent(
+    gateway: &Gateway,
+    head: &RequestHead,
+    failure: Failure,
+    received_at: Instant,
+) -> Response<ResponseBody> {
+    let failure_outcome = FailureOutcome::NotRun(failure);
+    let elapsed = gateway.clock.now().saturating_duration_since(received_at);
+    record::request_failed(&head.request_id, failure_outcome, elapsed);
+    refusal_response(failure_outcome, retry_delay(failure, false, Duration::ZERO))
+}
+
 async fn read_body(
     body: Incoming,
     limit: usize,
--- a/gateway/src/serve/refusal.rs
+++ b/gateway/src/serve/refusal.rs
@@ -13,6 +13,10 @@
 /// have completed by then.
 pub(super) const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Delay after which a caller that is refused by a stopping entry may retry. The load balancer has
+/// other entries for it.
+const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Range, as a share of the route's timeout, of the retry delay of a caller that is refused because
 /// its response would be late. A retry can't be on time either, and the load may have passed by
 /// then.
@@ -25,6 +29,7 @@
         Failure::Overloaded | Failure::Rejected if late => {
             route_timeout.mul_f64(rand::rng().random_range(LATE_RETRY_SHARE))
         }
+        Failure::Stopping => STOPPING_RETRY_DELAY,
         _ => DEFAULT_RETRY_DELAY,
     }
 }
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -10,7 +10,10 @@
     store::{StorePart, watch_store},
 };
 use axum::{Router, http::StatusCode, routing::get};
-use fulmarhead_lib::clock::SharedClock;
+use fulmarhead_lib::{
+    clock::SharedClock,
+    forward::{DEREGISTRATION_DELAY, StopSchedule},
+};
 use fulmarhead_platform::{NodeSettings, READINESS_PATH};
 use fulmarhead_runtime::{
     http::{Server, ServerSettings},
@@ -24,14 +27,6 @@
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-/// Time after SIGTERM during which new connections are still accepted: the load balancer probes
-/// once a second, and stops sending connections after two failed probes.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
-
-/// Time after SIGTERM at which responses still in progress are aborted, as a share of the time
-/// until SIGKILL.
-const ABORT_TIME_SHARE: f64 = 0.94;
-
 /// Interval at which the readiness of the gateway is updated and its quarantine is reviewed.
 const READINESS_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -138,11 +133,7 @@
     readiness: Readiness,
     metrics: Option<MetricsHandle>,
 ) -> Supervisor {
-    let stop_timeout = gateway
-        .settings
-        .termination_grace
-        .mul_f64(ABORT_TIME_SHARE)
-        .saturating_sub(DEREGISTRATION_DELAY);
+    let stop_timeout = StopSchedule::abort_delay(gateway.settings.termination_grace);
     let name = format!("gateway {}", gateway.settings.vm_name);
     let supervisor = Supervisor::new(name, Arc::clone(&gateway.clock)).stop_timeout(stop_timeout);
     let state: Arc<dyn StateDump> = Arc::clone(gateway) as Arc<dyn StateDump>;
--- a/lib/src/forward/failure.rs
+++ b/lib/src/forward/failure.rs
@@ -14,6 +14,8 @@
     Overloaded,
     /// All targets of the service have asked for no requests for some time.
     Paused,
+    /// The entry is stopping, and the request might not end before it does.
+    Stopping,
     /// A part of the prompt is quarantined because it crashes targets.
     Quarantined,
     /// All targets that were tried refused the request before it ran.
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod failure;
 mod progress;
+mod stop;
 
 pub use self::{
     answer::{RequestMatch, ResponseHead, Verdict},
@@ -14,4 +15,5 @@
     events::{EventBuffer, EventError},
     failure::{Failure, FailureOutcome},
     progress::Progress,
+    stop::{DEREGISTRATION_DELAY, StopSchedule},
 };
--- /dev/null
+++ b/lib/src/forward/stop.rs
@@ -0,0 +1,48 @@
+//! Which requests an entry still takes while it stops.
+
+use crate::{request::Deadline, routes::RetryPolicy};
+use std::time::{Duration, Instant};
+
+/// Time after the begin of the stop during which new connections are still accepted: the load
+/// balancer probes once a second, and stops sending connections after two failed probes.
+pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
+
+/// Time after the begin of the stop at which requests in progress are aborted, as a share of the
+/// grace period after which the process is killed.
+const ABORT_TIME_SHARE: f64 = 0.94;
+
+/// Time by which a request must be able to end before it would be aborted.
+const END_MARGIN: Duration = Duration::from_millis(100);
+
+/// Times of the stop of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSchedule {
+    deregistered_at: Instant,
+    aborts_at: Instant,
+}
+
+impl StopSchedule {
+    /// Returns the schedule of a stop that begins at `now`, of a process that is killed after
+    /// `grace`.
+    pub fn new(now: Instant, grace: Duration) -> Self {
+        Self {
+            deregistered_at: now + DEREGISTRATION_DELAY,
+            aborts_at: now + grace.mul_f64(ABORT_TIME_SHARE),
+        }
+    }
+
+    /// Returns the time after [`DEREGISTRATION_DELAY`] until requests in progress are aborted.
+    pub fn abort_delay(grace: Duration) -> Duration {
+        grace.mul_f64(ABORT_TIME_SHARE).saturating_sub(DEREGISTRATION_DELAY)
+    }
+
+    /// Returns whether a request that has arrived completely at `now` is taken.
+    ///
+    /// One that is certain to end before the abort always is. Of the others, those that may be
+    /// repeated are taken while the load balancer still sends connections, since most end long
+    /// before their deadline and callers can retry only a few times.
+    pub fn admits(&self, retry_policy: RetryPolicy, deadline: Deadline, now: Instant) -> bool {
+        deadline.has_passed(self.aborts_at - END_MARGIN)
+            || (retry_policy.allows_retry() && now < self.deregistered_at)
+    }
+}
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -2,7 +2,9 @@
 
 use fulmarhead_lib::{
     clock::Clock,
-    forward::{Call, Failure, FailureOutcome, RequestMatch, ResponseHead, Unsent, Verdict},
+    forward::{
+        Call, Failure, FailureOutcome, RequestMatch, ResponseHead, StopSchedule, Unsent, Verdict,
+    },
     placement::Notice,
     request::Deadline,
     routes::RetryPolicy,
@@ -73,7 +75,30 @@
     assert_eq!(response_head.verdict(), expected);
 }
 
+/// Checks whether an entry with a grace time of 8 s takes a request with a time limit of `limit`
+/// milliseconds that arrives `at` milliseconds after the begin of its stop.
+fn check_admitted(retry_policy: RetryPolicy, limit: u64, at: u64, expected: bool) {
+    let clock = ManualClock::default();
+    let schedule = StopSchedule::new(clock.now(), Duration::from_secs(8));
+    clock.advance(Duration::from_millis(at));
+    let deadline = Deadline::after(clock.now(), Duration::from_millis(limit));
+    assert_eq!(schedule.admits(retry_policy, deadline, clock.now()), expected);
+}
+
 cases! {
+    check_admitted {
+        order_at_the_begin: (RetryPolicy::Never, 1_500, 0, true),
+        order_that_ends_in_time: (RetryPolicy::Never, 600, 6_800, true),
+        /// Guards against an order that is cut at the end, so that its outcome is unknown.
+        order_that_may_be_cut: (RetryPolicy::Never, 1_500, 6_000, false),
+        long_order_at_the_begin: (RetryPolicy::Never, 8_000, 0, false),
+        /// Guards against refusing what the load balancer still sends here.
+        stream_at_the_begin: (RetryPolicy::Resume, 15_000, 2_500, true),
+        late_stream: (RetryPolicy::Resume, 15_000, 2_600, false),
+        late_stream_that_ends_in_time: (RetryPolicy::Resume, 4_000, 3_000, true),
+        late_stock_check: (RetryPolicy::Always, 600, 7_000, false),
+    }
+
     check_call {
         not_sent_yet: (RetryPolicy::Never, 1, &[], true, true),
         /// Guards against running a non-idempotent call twice.
