--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -24,7 +24,7 @@
     future::pending,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -131,14 +131,16 @@
     }
 
     /// Locks the state. The guard must not be held across an `await`.
+    ///
+    /// A panic of one request under the lock must not end all others, so that the state is used on.
     pub(crate) fn state(&self) -> MutexGuard<'_, GatewayState> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the roster. The guard must not be held across an `await`, or while the state is
     /// locked.
     pub(crate) fn roster(&self) -> MutexGuard<'_, Roster> {
-        self.roster.lock().expect("no holder of the lock panics")
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns a number for a new connection to or from another entry.
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -188,7 +188,8 @@
     pub fn is_silent(&self, target: &str, timeout: Duration, now: Instant) -> bool {
         let Some(state) = self.targets.get(target) else { return true };
         let prefill = self.load(target, state, now).prefill_ms;
-        let max_silence = timeout + Duration::from_secs_f32(prefill.max(0.0) / 1e3);
+        let prefill = Duration::try_from_secs_f32(prefill.max(0.0) / 1e3).unwrap_or(Duration::MAX);
+        let max_silence = timeout.saturating_add(prefill);
         state.last_activity.is_none_or(|at| now.saturating_duration_since(at) >= max_silence)
     }
 
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -5,6 +5,12 @@
 mod event_id;
 mod lifecycle;
 
+use crate::ids::Tokens;
+
+/// Largest number of tokens of a prompt or an output, far above that of any model. Sums of the sizes
+/// of all requests of a fleet stay far below what 64 bits hold.
+pub const MAX_REQUEST_TOKENS: Tokens = 1 << 30;
+
 pub use self::{
     cursor::{Cursor, ItemAction, StreamItem},
     deadline::Deadline,
