lib: ignore changes of the store that are not newer than the copy

Cause: a late write of a key whose deletion had come from a peer was applied, since the copy had no newer item of that key. A copy at a revision holds all changes up to it, so that older ones are ignored now whether or not their key is there.

--- a/lib/src/replica/copy.rs
+++ b/lib/src/replica/copy.rs
@@ -33,6 +33,24 @@
     },
 }
 
+impl Change {
+    /// Returns the key of the item.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
+    /// Returns the store revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Changes that bring a copy at an older revision up to date with the sender's copy.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -93,12 +111,15 @@
 
     /// Applies `changes` in order, which brings the copy to `revision`.
     ///
-    /// A change that is not newer than the item in the copy is ignored.
+    /// A change that is not newer than the copy is ignored. The copy may have become newer by
+    /// another way since the changes were requested, and may no longer have an item because of a
+    /// deletion that came after them. So is a change that is not newer than its item in the copy.
     pub fn apply(&mut self, revision: Revision, changes: Vec<Change>) {
-        for change in changes {
+        let applied = self.revision;
+        for change in changes.into_iter().filter(|change| change.revision() > applied) {
             self.apply_change(change);
         }
-        self.revision = self.revision.max(revision);
+        self.revision = applied.max(revision);
     }
 
     /// Returns the changes for a copy at `base_revision`, or `None` if it is as new as this one.
@@ -133,11 +154,8 @@
     }
 
     fn apply_change(&mut self, change: Change) {
-        let (key, revision) = match &change {
-            Change::Written(item) => (&item.key, item.revision),
-            Change::Deleted { key, revision } => (key, *revision),
-        };
-        if self.items.get(key).is_some_and(|known| known.revision >= revision) {
+        let known = self.items.get(change.key());
+        if known.is_some_and(|known| known.revision >= change.revision()) {
             return;
         }
         match change {
--- a/lib/tests/replica.rs
+++ b/lib/tests/replica.rs
@@ -128,3 +128,43 @@
     let generator = Gen::from_size_and_seed(30, 7);
     QuickCheck::new().rng(generator).quickcheck(property as fn(Vec<(u8, bool)>, u8) -> bool);
 }
+
+/// Guards against a target that comes back into the list by a held-up answer of the store, after a
+/// peer has told that it has left.
+#[test]
+fn late_write_does_not_revive_a_deleted_item() {
+    let mut replica = Replica::default();
+    replica.load_snapshot(5, vec![item("a", 3), item("b", 5)]);
+    let mut peer = replica.clone();
+    peer.apply(7, vec![written("a", 6), deleted("a", 7)]);
+    assert!(replica.merge(peer.delta(5).unwrap()));
+    // The watch that began at revision 5.
+    replica.apply(6, vec![written("a", 6)]);
+    assert_eq!(keys_and_revisions(&replica), [("b", 5)]);
+    assert_eq!(replica.revision(), 7);
+}
+
+/// Checks that answers of watches that arrive after a delta of a peer change nothing, whichever
+/// part of the history they hold.
+#[test]
+fn late_answers_change_nothing() {
+    fn property(history: Vec<(u8, bool)>, from: u8, to: u8) -> bool {
+        let change = |(index, (key, write)): (usize, &(u8, bool))| {
+            let (key, revision) = (format!("k{}", key % 5), index as u64 + 1);
+            if *write { written(&key, revision) } else { deleted(&key, revision) }
+        };
+        let changes: Vec<Change> = history.iter().enumerate().map(change).collect();
+        let end = usize::from(to) % (changes.len() + 1);
+        let begin = usize::from(from) % (end + 1);
+        let (mut full, mut late) = (Replica::default(), Replica::default());
+        full.apply(changes.len() as u64, changes.clone());
+        late.apply(begin as u64, changes[..begin].to_vec());
+        if let Some(delta) = full.delta(late.revision()) {
+            late.merge(delta);
+        }
+        late.apply(end as u64, changes[begin..end].to_vec());
+        full.items() == late.items() && full.revision() == late.revision()
+    }
+    let generator = Gen::from_size_and_seed(30, 7);
+    QuickCheck::new().rng(generator).quickcheck(property as fn(Vec<(u8, bool)>, u8, u8) -> bool);
+}
