lib, gateway: end a resumed stream as complete only by its own run

Cause: a response without a length is complete only after an event, and the buffer that knew of one was shared by all runs of the stream and by the caller's own position.

What one target writes is now an EventRun, whose type says whether it has written an event. Only the caller's position goes from one run to the next. A run without an event completes a stream only if the caller has events and the end of the response is delimited, which a crash can't write.

--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -9,7 +9,7 @@
 use async_stream::stream;
 use bytes::Bytes;
 use fulmarhead_lib::{
-    forward::{EventBuffer, Failure, Progress},
+    forward::{EventError, EventRun, Failure, Progress, Pushed, Silent, StreamPosition, Writing},
     placement::AttemptResult,
     quarantine::{LifeSign, PartSet},
 };
@@ -17,6 +17,7 @@
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// Returns a response that passes on the target's event stream.
@@ -35,16 +36,20 @@
 /// Parts of a request that is not quarantined any more.
 static NO_PARTS: PartSet = PartSet::new();
 
-/// The outcome of a read from a target's stream.
-enum ReadOutcome {
+/// What a run of a target has written first.
+enum FirstRead {
+    /// Complete events, encoded for the caller, of a run that goes on.
+    Events(EventRun<Writing>, Vec<u8>),
+    /// Nothing more, so that the stream is complete. Holds what followed the last event.
+    Complete(Vec<u8>),
+}
+
+/// What a run of a target that has written events has written next.
+enum NextRead {
     /// Complete events, encoded for the caller.
     Events(Vec<u8>),
-    /// The stream ended after at least one event, and no event is partial. Holds what followed the
-    /// last event, encoded for the caller.
-    Complete(Vec<u8>),
-    /// The connection failed, there was no event, an event was partial or out of order, bytes were
-    /// no event, the target was silent, or the deadline passed.
-    Interrupted(Failure),
+    /// The end of the response.
+    End,
 }
 
 /// Yields the events of the response, which may come from several targets in turn.
@@ -53,55 +58,50 @@
     target_response: TargetResponse,
 ) -> impl Stream<Item = Result<Bytes, BodyError>> + Send + 'static {
     stream! {
-        let mut buffer = EventBuffer::resume_after(context.head.last_event);
+        let mut position = StreamPosition::after(context.head.last_event);
         let mut target_response = target_response;
-        let mut times = ResponseTimes::default();
-        let mut started = false;
-        // Time since the request was received.
-        let mut last_chunk_at = context.elapsed();
+        let mut times = StreamTimes::default();
+        // Each turn is the run of one target.
         loop {
-            let failure = loop {
-                match read_events(&context, &mut target_response, &mut buffer).await {
-                    ReadOutcome::Events(events) => {
-                        let now = context.elapsed();
-                        match started {
-                            true => times.max_pause =
-                                times.max_pause.max(now.saturating_sub(last_chunk_at)),
-                            false => times.first_byte = now,
-                        }
-                        (started, last_chunk_at) = (true, now);
-                        if let Some(sign) = target_response.work.record_events() {
-                            context.gateway.record_sign(sign, &context.head.shared_parts);
-                        }
+            let failure = 'run: {
+                let run = EventRun::begin(position);
+                let mut run = match read_first(&context, &mut target_response, run).await {
+                    Ok(FirstRead::Events(run, events)) => {
+                        record_events(&context, &mut target_response, &mut times);
                         yield Ok(Bytes::from(events));
+                        run
                     }
-                    ReadOutcome::Complete(rest) => {
-                        if !rest.is_empty() {
-                            yield Ok(Bytes::from(rest));
-                        }
-                        target_response.work.set_result(AttemptResult::Answered);
-                        let sign = LifeSign::Survival;
-                        if target_response.work.record_sign(sign).is_some() {
-                            context.gateway.record_sign(sign, &context.head.shared_parts);
+                    Ok(FirstRead::Complete(rest)) => {
+                        yield Ok(Bytes::from(rest));
+                        record_complete(&context, &mut target_response, times);
+                        return;
+                    }
+                    Err(failure) => break 'run failure,
+                };
+                loop {
+                    position = run.position();
+                    match read_next(&context, &mut target_response, &mut run).await {
+                        Ok(NextRead::Events(events)) => {
+                            record_events(&context, &mut target_response, &mut times);
+                            yield Ok(Bytes::from(events));
                         }
-                        let (request, target) =
-                            (&context.head.request_id, target_response.call.target());
-                        times.total = context.elapsed();
-                        record::request_answered(
-                            request,
-                            target,
-                            target_response.head.status,
-                            times,
-                        );
+                        Ok(NextRead::End) => break,
+                        Err(failure) => break 'run failure,
+                    }
+                }
+                match run.end() {
+                    Some(rest) => {
+                        yield Ok(Bytes::from(rest));
+                        record_complete(&context, &mut target_response, times);
                         return;
                     }
-                    ReadOutcome::Interrupted(failure) => break failure,
+                    None => Failure::BadAnswer,
                 }
             };
-            match resume(&context, target_response, &mut buffer, failure).await {
+            match resume(&context, target_response, position, failure).await {
                 Some(next) => target_response = next,
                 None => {
-                    let (request, last_event) = (&context.head.request_id, buffer.last_event());
+                    let (request, last_event) = (&context.head.request_id, position.last_event());
                     record::response_interrupted(
                         request,
                         failure.into(),
@@ -119,59 +119,148 @@
     }
 }
 
-/// Reads until at least one event is complete or the stream ends.
+/// Times of the chunks that were passed on, since the request was received.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamTimes {
+    response: ResponseTimes,
+    last_chunk: Option<Duration>,
+}
+
+fn record_events(
+    context: &RequestContext,
+    target_response: &mut TargetResponse,
+    times: &mut StreamTimes,
+) {
+    let now = context.elapsed();
+    match times.last_chunk {
+        Some(last) => {
+            let pause = now.saturating_sub(last);
+            times.response.max_pause = times.response.max_pause.max(pause);
+        }
+        None => times.response.first_byte = now,
+    }
+    times.last_chunk = Some(now);
+    if let Some(sign) = target_response.work.record_events() {
+        context.gateway.record_sign(sign, &context.head.shared_parts);
+    }
+}
+
+fn record_complete(
+    context: &RequestContext,
+    target_response: &mut TargetResponse,
+    times: StreamTimes,
+) {
+    target_response.work.set_result(AttemptResult::Answered);
+    if let Some(sign) = target_response.work.record_sign(LifeSign::Survival) {
+        context.gateway.record_sign(sign, &context.head.shared_parts);
+    }
+    let (request, target) = (&context.head.request_id, target_response.call.target());
+    let times = ResponseTimes { total: context.elapsed(), ..times.response };
+    record::request_answered(request, target, target_response.head.status, times);
+}
+
+/// Reads until the first events of a run are complete, or the stream ends without any.
+///
+/// # Errors
 ///
-/// Silence ends the stream before its deadline only if it can be resumed at another target.
-async fn read_events(
+/// Returns an error if the response can't be read, its first bytes are no event in order, or it ends
+/// although the stream may not be complete.
+async fn read_first(
     context: &RequestContext,
     target_response: &mut TargetResponse,
-    buffer: &mut EventBuffer,
-) -> ReadOutcome {
+    mut run: EventRun<Silent>,
+) -> Result<FirstRead, Failure> {
+    let begun_at = context.gateway.clock.now();
+    loop {
+        let Some(bytes) = read_bytes(context, target_response, begun_at).await? else {
+            let rest = run.end(target_response.head.delimited);
+            return rest.map(FirstRead::Complete).ok_or(Failure::BadAnswer);
+        };
+        run = match run.push(&bytes) {
+            Ok(Pushed::Silent(run)) => run,
+            Ok(Pushed::Writing(run, events)) => return Ok(FirstRead::Events(run, events)),
+            Err(error) => return Err(reject(context, target_response, error)),
+        };
+    }
+}
+
+/// Reads until at least one more event of a run is complete, or the response ends.
+///
+/// # Errors
+///
+/// Returns an error if the response can't be read, or the next bytes are no event in order.
+async fn read_next(
+    context: &RequestContext,
+    target_response: &mut TargetResponse,
+    run: &mut EventRun<Writing>,
+) -> Result<NextRead, Failure> {
+    let begun_at = context.gateway.clock.now();
+    loop {
+        // The events before the error have been passed on.
+        if let Some(error) = run.error() {
+            return Err(reject(context, target_response, error));
+        }
+        let Some(bytes) = read_bytes(context, target_response, begun_at).await? else {
+            return Ok(NextRead::End);
+        };
+        let events = run.push(&bytes);
+        if !events.is_empty() {
+            return Ok(NextRead::Events(events));
+        }
+    }
+}
+
+fn reject(
+    context: &RequestContext,
+    target_response: &TargetResponse,
+    error: EventError,
+) -> Failure {
+    record::stream_rejected(&context.head, target_response.call.target(), error);
+    Failure::BadAnswer
+}
+
+/// Waits for the next bytes of the response and returns them, or `None` at its end. `last_event` is
+/// the time of the last event, since bytes that complete no event do not end the silence.
+///
+/// # Errors
+///
+/// Returns an error if the connection failed, the deadline passed, or a part of the prompt was
+/// quarantined. Silence is an error only if the stream can be resumed at another target.
+async fn read_bytes(
+    context: &RequestContext,
+    target_response: &mut TargetResponse,
+    last_event: Instant,
+) -> Result<Option<Bytes>, Failure> {
     let clock = &context.gateway.clock;
     // A request whose answer goes on for some time does not crash its target.
     let unanswered_parts = match target_response.work.progress() {
         Progress::Streaming => &NO_PARTS,
         Progress::Waiting | Progress::Begun | Progress::Started => &context.head.shared_parts,
     };
-    let last_activity = clock.now();
-    let mut silence_end = last_activity + context.silence_timeout();
+    let mut silence_end = last_event + context.silence_timeout();
     loop {
-        // The events before the error have been passed on.
-        if let Some(error) = buffer.error() {
-            record::stream_rejected(&context.head, target_response.call.target(), error);
-            return ReadOutcome::Interrupted(Failure::BadAnswer);
-        }
         let remaining = target_response.call.deadline().remaining(clock.now());
-        // Bytes that complete no event do not end the silence.
         let wait = silence_end.saturating_duration_since(clock.now());
         let frame = timeout(remaining.min(wait), target_response.body.frame());
         let frame = tokio::select! {
             biased;
             frame = frame => frame,
             () = context.gateway.wait_quarantined(unanswered_parts) => {
-                return ReadOutcome::Interrupted(Failure::Quarantined);
+                return Err(Failure::Quarantined);
             }
         };
-        let frame = match frame {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return ReadOutcome::Interrupted(Failure::ConnectionLost),
-            Ok(None) if buffer.is_complete() && buffer.last_event().is_some() => {
-                return ReadOutcome::Complete(buffer.take_rest());
-            }
-            Ok(None) => return ReadOutcome::Interrupted(Failure::BadAnswer),
-            Err(_) if remaining <= wait => return ReadOutcome::Interrupted(Failure::Timeout),
+        match frame {
+            Ok(Some(Ok(frame))) => return Ok(Some(frame_data(frame))),
+            Ok(Some(Err(_))) => return Err(Failure::ConnectionLost),
+            Ok(None) => return Ok(None),
+            Err(_) if remaining <= wait => return Err(Failure::Timeout),
             Err(_) => {
-                let silence = clock.now().saturating_duration_since(last_activity);
+                let silence = clock.now().saturating_duration_since(last_event);
                 if should_fail_over(context, &target_response.call, silence) {
-                    return ReadOutcome::Interrupted(Failure::Silent);
+                    return Err(Failure::Silent);
                 }
                 silence_end = clock.now() + SILENCE_CHECK_INTERVAL;
-                continue;
             }
-        };
-        let events = buffer.push(&frame_data(frame));
-        if !events.is_empty() {
-            return ReadOutcome::Events(events);
         }
     }
 }
@@ -181,7 +270,7 @@
 async fn resume(
     context: &RequestContext,
     target_response: TargetResponse,
-    buffer: &mut EventBuffer,
+    position: StreamPosition,
     failure: Failure,
 ) -> Option<TargetResponse> {
     let TargetResponse { call, choice, mut work, connection, body, .. } = target_response;
@@ -195,7 +284,6 @@
     let progress = work.progress();
     drop(work);
     record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
-    buffer.resume();
     let mut call = call.record_lost();
     // A stream without a length ends without an error when its target crashes.
     if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
@@ -211,7 +299,7 @@
         if !call.may_send(context.gateway.clock.now()) {
             return None;
         }
-        match run_attempt(context, call, buffer.last_event()).await {
+        match run_attempt(context, call, position.last_event()).await {
             Ok(next) if context.is_stream(&next.head) => return Some(next),
             Ok(_) => return None,
             Err(failed) if failed.failure == Failure::ConnectionLost => call = failed.call,
--- a/lib/src/forward/answer.rs
+++ b/lib/src/forward/answer.rs
@@ -29,6 +29,8 @@
     pub encoded: bool,
     /// Whether the body is a stream of server-sent events.
     pub event_stream: bool,
+    /// Whether the end of the body can be told from the end of the connection.
+    pub delimited: bool,
     /// What the response says about further requests to its target.
     pub notice: Notice,
 }
--- a/lib/src/forward/events.rs
+++ b/lib/src/forward/events.rs
@@ -36,67 +36,137 @@
     Increasing,
 }
 
-/// Buffer that yields complete events of a stream and checks that their identifiers increase.
-///
-/// Comments and fields without an identifier, which are no events, are passed on together with the
-/// next event, so that a target can't prolong a stream with them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EventBuffer {
-    blocks: Blocks,
+/// Position of a caller in a stream: the last event that it has, and how events are numbered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamPosition {
     last: Option<StreamEventId>,
     numbering: Numbering,
-    /// Whether the last event came from an earlier target or before the caller resumed the stream.
-    resumed: bool,
-    error: Option<EventError>,
 }
 
-impl EventBuffer {
-    /// Returns a buffer for a stream that continues after the event `last`, or for a new stream if
-    /// there is none.
-    pub fn resume_after(last: Option<StreamEventId>) -> Self {
-        Self { last, resumed: last.is_some(), ..Self::default() }
+impl StreamPosition {
+    /// Returns the position of a caller that has the events up to `last`, or none.
+    pub fn after(last: Option<StreamEventId>) -> Self {
+        Self { last, numbering: Numbering::Unknown }
     }
 
-    /// Returns the identifier of the last event that [`Self::push`] has returned.
-    pub fn last_event(&self) -> Option<StreamEventId> {
+    /// Returns the identifier of the last event.
+    pub fn last_event(self) -> Option<StreamEventId> {
         self.last
     }
 
-    /// Returns the error that ended the stream, after the events that [`Self::push`] has returned.
-    pub fn error(&self) -> Option<EventError> {
-        self.error
+    /// Moves to the event `found`. `resumed` says that another target sent the event before, or that
+    /// the caller already had it.
+    fn advance(&mut self, found: StreamEventId, resumed: bool) -> Result<(), EventError> {
+        let is_next = self.last.unwrap_or(0).checked_add(1) == Some(found);
+        if let Some(last) = self.last {
+            let is_gap = resumed && self.numbering == Numbering::Consecutive && !is_next;
+            if found <= last || is_gap {
+                return Err(EventError::OutOfOrder { last, found });
+            }
+        }
+        self.numbering = match self.numbering {
+            Numbering::Increasing => Numbering::Increasing,
+            _ if is_next => Numbering::Consecutive,
+            _ if self.last.is_none() => Numbering::Unknown,
+            _ => Numbering::Increasing,
+        };
+        self.last = Some(found);
+        Ok(())
     }
+}
+
+/// State of a run that has written no event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silent;
+
+/// State of a run that has written at least one event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Writing {
+    error: Option<EventError>,
+}
+
+/// One run of a stream: what one target writes. A stream that is interrupted goes on with a new run
+/// at another target, from the position that the caller has reached.
+///
+/// Comments and fields without an identifier, which are no events, are passed on together with the
+/// next event, so that a target can't prolong a stream with them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventRun<S> {
+    blocks: Blocks,
+    position: StreamPosition,
+    state: S,
+}
+
+/// A run after the bytes that were added to it while it had written no event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pushed {
+    /// No event is complete.
+    Silent(EventRun<Silent>),
+    /// The first events, as bytes, and the run that has written them.
+    Writing(EventRun<Writing>, Vec<u8>),
+}
 
-    /// Returns whether the stream can end here, since no event is partial.
-    pub fn is_complete(&self) -> bool {
-        self.error.is_none() && !self.blocks.is_inside_block()
+impl EventRun<Silent> {
+    /// Returns a run that goes on from `position`.
+    pub fn begin(position: StreamPosition) -> Self {
+        Self { blocks: Blocks::default(), position, state: Silent }
     }
 
-    /// Takes what followed the last event when the stream has ended.
-    pub fn take_rest(&mut self) -> Vec<u8> {
-        self.blocks.take_event()
+    /// Adds bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no event before bytes that are none, or that are out of order.
+    pub fn push(mut self, bytes: &[u8]) -> Result<Pushed, EventError> {
+        self.blocks.extend(bytes);
+        let Some(first) = self.blocks.next_event()? else { return Ok(Pushed::Silent(self)) };
+        self.position.advance(first, true)?;
+        let mut events = self.blocks.take_event();
+        let Self { blocks, position, state: Silent } = self;
+        let mut run = EventRun { blocks, position, state: Writing { error: None } };
+        events.append(&mut run.take_events());
+        Ok(Pushed::Writing(run, events))
     }
 
-    /// Continues after the last event with what another target sends.
-    pub fn resume(&mut self) {
-        self.blocks = Blocks::default();
-        self.resumed = self.last.is_some();
-        self.error = None;
+    /// Ends the run and returns what followed the last event, if the stream is complete.
+    ///
+    /// A run without any event adds nothing to a stream that has events, if its end is `delimited`
+    /// from that of the connection. Otherwise its target may just as well have crashed.
+    pub fn end(mut self, delimited: bool) -> Option<Vec<u8>> {
+        let is_complete = delimited && self.position.last.is_some();
+        (is_complete && !self.blocks.is_inside_block()).then(|| self.blocks.take_event())
     }
+}
 
+impl EventRun<Writing> {
     /// Adds bytes and returns the bytes of all events that are now complete and in order. An error
     /// is kept, and what follows it is ignored.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
-        let mut events = Vec::new();
-        if self.error.is_some() {
-            return events;
+        if self.state.error.is_some() {
+            return Vec::new();
         }
         self.blocks.extend(bytes);
-        while self.error.is_none() {
+        self.take_events()
+    }
+
+    /// Returns the error after the events that were returned so far.
+    pub fn error(&self) -> Option<EventError> {
+        self.state.error
+    }
+
+    /// Ends the run and returns what followed the last event, if the stream is complete.
+    pub fn end(mut self) -> Option<Vec<u8>> {
+        let is_complete = self.state.error.is_none() && !self.blocks.is_inside_block();
+        is_complete.then(|| self.blocks.take_event())
+    }
+
+    fn take_events(&mut self) -> Vec<u8> {
+        let mut events = Vec::new();
+        while self.state.error.is_none() {
             match self.next_event() {
                 Ok(true) => events.append(&mut self.blocks.take_event()),
                 Ok(false) => break,
-                Err(error) => self.error = Some(error),
+                Err(error) => self.state.error = Some(error),
             }
         }
         events
@@ -105,20 +175,14 @@
     /// Returns whether there is another complete event.
     fn next_event(&mut self) -> Result<bool, EventError> {
         let Some(found) = self.blocks.next_event()? else { return Ok(false) };
-        let is_next = self.last.unwrap_or(0).checked_add(1) == Some(found);
-        if let Some(last) = self.last {
-            let is_gap = self.resumed && self.numbering == Numbering::Consecutive && !is_next;
-            if found <= last || is_gap {
-                return Err(EventError::OutOfOrder { last, found });
-            }
-        }
-        self.numbering = match self.numbering {
-            Numbering::Increasing => Numbering::Increasing,
-            _ if is_next => Numbering::Consecutive,
-            _ if self.last.is_none() => Numbering::Unknown,
-            _ => Numbering::Increasing,
-        };
-        (self.last, self.resumed) = (Some(found), false);
+        self.position.advance(found, false)?;
         Ok(true)
     }
 }
+
+impl<S> EventRun<S> {
+    /// Returns the position of the caller, which has got all events that were returned.
+    pub fn position(&self) -> StreamPosition {
+        self.position
+    }
+}
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -12,7 +12,7 @@
     answer::{RequestMatch, ResponseHead, Verdict},
     blocks::MAX_EVENT_BYTES,
     call::{Call, Sent, Unsent},
-    events::{EventBuffer, EventError},
+    events::{EventError, EventRun, Pushed, Silent, StreamPosition, Writing},
     failure::{Failure, FailureOutcome},
     progress::Progress,
     stop::{DEREGISTRATION_DELAY, StopSchedule},
--- a/lib/tests/events.rs
+++ b/lib/tests/events.rs
@@ -1,14 +1,76 @@
 //! Tests of the events of a stream, their order, and bytes that are no event.
 
-use fulmarhead_lib::forward::{EventBuffer, EventError, MAX_EVENT_BYTES};
+use fulmarhead_lib::forward::{
+    EventError, EventRun, MAX_EVENT_BYTES, Pushed, Silent, StreamPosition, Writing,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use testutils::cases;
 
 const ONE: &str = "id: 1\ndata: a\n\n";
 const TWO: &str = "id: 2\ndata: b\n\n";
 
+/// A run of a target in either state, with what it has passed on.
+struct Reader {
+    run: Option<Run>,
+    passed: Vec<u8>,
+    error: Option<EventError>,
+    position: StreamPosition,
+}
+
+enum Run {
+    Silent(EventRun<Silent>),
+    Writing(EventRun<Writing>),
+}
+
+impl Reader {
+    fn begin(position: StreamPosition) -> Self {
+        let run = Some(Run::Silent(EventRun::begin(position)));
+        Self { run, passed: Vec::new(), error: None, position }
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.run = match self.run.take() {
+            Some(Run::Silent(run)) => match run.push(bytes) {
+                Ok(Pushed::Silent(run)) => Some(Run::Silent(run)),
+                Ok(Pushed::Writing(run, events)) => {
+                    self.passed.extend(events);
+                    Some(Run::Writing(run))
+                }
+                Err(error) => {
+                    self.error = Some(error);
+                    None
+                }
+            },
+            Some(Run::Writing(mut run)) => {
+                self.passed.extend(run.push(bytes));
+                Some(Run::Writing(run))
+            }
+            None => None,
+        };
+        if let Some(Run::Writing(run)) = &self.run {
+            (self.error, self.position) = (run.error(), run.position());
+        }
+    }
+
+    /// Ends the run, whose end is `delimited` or not, and returns whether the stream is complete.
+    fn end(&mut self, delimited: bool) -> bool {
+        let rest = match self.run.take() {
+            Some(Run::Silent(run)) => run.end(delimited),
+            Some(Run::Writing(run)) => run.end(),
+            None => None,
+        };
+        let is_complete = rest.is_some();
+        self.passed.extend(rest.unwrap_or_default());
+        is_complete
+    }
+
+    fn text(&self) -> &str {
+        std::str::from_utf8(&self.passed).unwrap()
+    }
+}
+
 /// Checks what a stream that resumes after the event `last` and arrives in `chunks` passes on, the
-/// error that ends it, and whether it can end there.
+/// error that ends it, and whether it can end with its connection there.
 fn check_stream(
     last: Option<u64>,
     chunks: &[&str],
@@ -16,36 +78,39 @@
     error: Option<EventError>,
     complete: bool,
 ) {
-    let mut buffer = EventBuffer::resume_after(last);
-    let events: Vec<u8> = chunks.iter().flat_map(|chunk| buffer.push(chunk.as_bytes())).collect();
-    let text = String::from_utf8(events).unwrap();
-    assert_eq!((text.as_str(), buffer.error(), buffer.is_complete()), (expected, error, complete));
+    let mut reader = Reader::begin(StreamPosition::after(last));
+    chunks.iter().for_each(|chunk| reader.push(chunk.as_bytes()));
+    assert_eq!((reader.text(), reader.error), (expected, error));
+    assert_eq!(reader.end(false), complete);
 }
 
 /// Checks that a stream of `text` that ends there is passed on unchanged, in whatever chunks it
 /// arrives.
 fn check_unchanged(text: &str) {
     for size in 1..=text.len() {
-        let mut buffer = EventBuffer::default();
-        let mut events: Vec<u8> = Vec::new();
-        for chunk in text.as_bytes().chunks(size) {
-            events.append(&mut buffer.push(chunk));
-        }
-        assert_eq!((buffer.error(), buffer.is_complete()), (None, true), "chunks of {size} bytes");
-        events.append(&mut buffer.take_rest());
-        assert_eq!(String::from_utf8(events).unwrap(), text, "chunks of {size} bytes");
+        let mut reader = Reader::begin(StreamPosition::default());
+        text.as_bytes().chunks(size).for_each(|chunk| reader.push(chunk));
+        assert!(reader.end(false), "chunks of {size} bytes: {:?}", reader.error);
+        assert_eq!(reader.text(), text, "chunks of {size} bytes");
     }
 }
 
 /// Checks what is passed on of a stream that is interrupted after `chunks` and goes on at another
 /// target with `resumed`.
 fn check_resumed(chunks: &[&str], resumed: &str, expected: &str, error: Option<EventError>) {
-    let mut buffer = EventBuffer::default();
-    let mut events: Vec<u8> =
-        chunks.iter().flat_map(|chunk| buffer.push(chunk.as_bytes())).collect();
-    buffer.resume();
-    events.append(&mut buffer.push(resumed.as_bytes()));
-    assert_eq!((String::from_utf8(events).unwrap().as_str(), buffer.error()), (expected, error));
+    let mut first = Reader::begin(StreamPosition::default());
+    chunks.iter().for_each(|chunk| first.push(chunk.as_bytes()));
+    let mut second = Reader::begin(first.position);
+    second.push(resumed.as_bytes());
+    let passed = format!("{}{}", first.text(), second.text());
+    assert_eq!((passed.as_str(), second.error), (expected, error));
+}
+
+/// Checks whether a stream of `text` after the event `last` is complete if the response ends there.
+fn check_end(last: Option<u64>, text: &str, delimited: bool, expected: bool) {
+    let mut reader = Reader::begin(StreamPosition::after(last));
+    reader.push(text.as_bytes());
+    assert_eq!(reader.end(delimited), expected);
 }
 
 cases! {
@@ -97,7 +162,19 @@
             Some(EventError::OutOfOrder { last: u64::MAX, found: 0 }), false,
         ),
         /// Guards against comments that pass for progress.
-        comments_wait_for_an_event: (None, &[": wait\n\n", ": wait\n\n"], "", None, true),
+        comments_wait_for_an_event: (None, &[": wait\n\n", ": wait\n\n"], "", None, false),
+    }
+
+    check_end {
+        /// Guards against a stream that ends as complete because of the events of the run before, or
+        /// of those that the caller already had.
+        resumed_without_events: (Some(2), "", false, false),
+        resumed_with_a_comment: (Some(2), ": wait\n\n", false, false),
+        resumed_inside_an_event: (Some(2), "id: 3\n", true, false),
+        /// Guards against breaking off a stream whose last target has nothing to add.
+        resumed_after_the_last_event: (Some(2), "", true, true),
+        new_without_events: (None, "", true, false),
+        new_with_events: (None, ONE, false, true),
     }
 
     check_unchanged {
@@ -148,11 +225,11 @@
 /// Guards against bytes without end that are kept in memory.
 #[test]
 fn endless_comment() {
-    let mut buffer = EventBuffer::default();
+    let mut reader = Reader::begin(StreamPosition::default());
     for _ in 0..=MAX_EVENT_BYTES / 8 {
-        assert_eq!(buffer.push(b": wait\n\n"), b"");
+        reader.push(b": wait\n\n");
     }
-    assert_eq!(buffer.error(), Some(EventError::TooLarge));
+    assert_eq!((reader.text(), reader.error), ("", Some(EventError::TooLarge)));
 }
 
 /// A piece of a stream, sound or not.
@@ -176,24 +253,18 @@
     }
 }
 
-/// Returns what a stream of `text` that arrives in chunks of `size` bytes passes on, its error and
-/// its last event.
-fn read(text: &str, size: usize) -> (String, Option<EventError>, Option<u64>) {
-    let mut buffer = EventBuffer::default();
-    let mut events: Vec<u8> = Vec::new();
-    for chunk in text.as_bytes().chunks(size) {
-        events.append(&mut buffer.push(chunk));
-    }
-    let error = buffer.error();
-    if error.is_none() {
-        events.append(&mut buffer.take_rest());
-    }
-    let mut events = String::from_utf8(events).unwrap();
-    // The line feed after the last carriage return is lost if an error follows it.
-    if error.is_some() && events.ends_with("\r\n") {
-        events.pop();
+/// Returns what a stream of `text` that arrives in chunks of `size` bytes passes on, its error,
+/// whether it is complete, and its last event.
+fn read(text: &str, size: usize) -> (String, Option<EventError>, bool, Option<u64>) {
+    let mut reader = Reader::begin(StreamPosition::default());
+    text.as_bytes().chunks(size).for_each(|chunk| reader.push(chunk));
+    let is_complete = reader.end(false);
+    let mut passed = reader.text().to_owned();
+    // The line feed after the last carriage return is lost if the stream is not complete.
+    if !is_complete && passed.ends_with("\r\n") {
+        passed.pop();
     }
-    (events, error, buffer.last_event())
+    (passed, reader.error, is_complete, reader.position.last_event())
 }
 
 /// Guards against events that depend on how the network divides the bytes.
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -67,6 +67,7 @@
         not_run: false,
         encoded: false,
         event_stream: false,
+        delimited: true,
         notice: Notice::default(),
     }
 }
