--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -33,7 +33,7 @@
     response
 }
 
-/// Parts of a request that is not quarantined any more.
+/// Parts of a request that goes on even if a part of its prompt is quarantined.
 static NO_PARTS: PartSet = PartSet::new();
 
 /// What a run of a target has written first.
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -117,9 +117,10 @@
         cleared
     }
 
-    /// Returns the suspicion of each part that is a suspect of several crashes. A crash does not count for a part if one of `holds`
-    /// without that part explains it. `is_silent` says whether no answer to a request with a part has
-    /// begun for some time.
+    /// Returns the suspicion of each part that is a suspect of several crashes.
+    ///
+    /// A crash does not count for a part if one of `holds` without that part explains it.
+    /// `is_silent` says whether no answer to a request with a part has begun for some time.
     pub(super) fn suspicions(
         &self,
         holds: &[&PartSet],
