lib: suspect waiting requests unless an answer had begun without an event

Since crashes after the first event count, any request whose first event had just arrived cleared those that waited at the same target of suspicion. Targets that crash before they send a head, beside other streams, would have been noticed later than before.

Only a request whose answer had begun without any event does that now, as before the change. crashes_before_any_head_beside_others guards against it.

--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -53,9 +53,9 @@
     pub(super) started: PartSet,
     /// Parts of requests of which no answer had begun.
     pub(super) waiting: PartSet,
-    /// Whether the target was answering any request. Those that waited are victims then, also after
-    /// the others were answered elsewhere.
-    pub(super) was_answering: bool,
+    /// Whether the answer to any request had begun without any event. Those that waited are victims
+    /// then, also after that request was answered elsewhere.
+    pub(super) had_begun: bool,
     pub(super) version: Version,
 }
 
@@ -67,7 +67,7 @@
             begun: PartSet::new(),
             started: PartSet::new(),
             waiting: PartSet::new(),
-            was_answering: false,
+            had_begun: false,
             version,
         }
     }
@@ -81,22 +81,22 @@
             Progress::Waiting => self.waiting.extend(parts),
             Progress::Streaming => return,
         }
-        self.was_answering |= progress != Progress::Waiting;
+        self.had_begun |= progress == Progress::Begun;
         self.tidy();
     }
 
     /// Adds what another report says of the same crash, and returns whether that is new.
     pub(super) fn merge(&mut self, other: Self) -> bool {
         let before = (self.begun.len(), self.started.len(), self.waiting.len());
-        let was_answering = self.was_answering;
+        let had_begun = self.had_begun;
         self.at = self.at.min(other.at);
         self.begun.extend(other.begun);
         self.started.extend(other.started);
         self.waiting.extend(other.waiting);
-        self.was_answering |= other.was_answering;
+        self.had_begun |= other.had_begun;
         self.tidy();
         let after = (self.begun.len(), self.started.len(), self.waiting.len());
-        let changed = before != after || was_answering != self.was_answering;
+        let changed = before != after || had_begun != self.had_begun;
         if changed {
             self.version = other.version;
         }
@@ -133,10 +133,7 @@
     /// Returns whether the requests with the parts `held` may have caused the crash.
     pub(super) fn is_explained_by(&self, held: &PartSet, now: Instant) -> bool {
         let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
-        match self.was_answering {
-            true => self.was_answering_all(held),
-            false => settled && held.is_subset(&self.waiting),
-        }
+        self.was_answering_all(held) || (settled && held.is_subset(&self.waiting))
     }
 
     /// Returns whether all of `parts` were in requests that the target was answering.
@@ -177,7 +174,7 @@
 
     /// Removes the requests that waited if they are no evidence.
     fn tidy(&mut self) {
-        if self.was_answering {
+        if self.had_begun {
             self.waiting.clear();
         }
     }
--- a/lib/src/quarantine/news.rs
+++ b/lib/src/quarantine/news.rs
@@ -34,8 +34,8 @@
     pub started: PartSet,
     /// Parts of requests of which no answer had begun.
     pub waiting: PartSet,
-    /// Whether the target was answering any request.
-    pub was_answering: bool,
+    /// Whether the answer to any request had begun without any event.
+    pub had_begun: bool,
 }
 
 /// The last sign of life of a request with a certain part.
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -148,7 +148,7 @@
             begun: crash.begun.clone(),
             started: crash.started.clone(),
             waiting: crash.waiting.clone(),
-            was_answering: crash.was_answering,
+            had_begun: crash.had_begun,
         });
         let answers = LifeSign::iter().flat_map(|sign| {
             let changed = self.log(sign).changed_since(version);
@@ -175,10 +175,10 @@
                 self.apply_sign(part, sign, at);
             }
         }
-        for CrashNews { id, age, begun, started, waiting, was_answering } in news.crashes {
+        for CrashNews { id, age, begun, started, waiting, had_begun } in news.crashes {
             let Some(at) = now.checked_sub(age) else { continue };
             let version = self.version + 1;
-            self.add_crash(id, Crash { at, begun, started, waiting, was_answering, version }, now);
+            self.add_crash(id, Crash { at, begun, started, waiting, had_begun, version }, now);
         }
         let mut detections = Vec::new();
         for HoldNews { mut parts, age, spell } in news.holds {
--- a/lib/tests/quarantine/detection.rs
+++ b/lib/tests/quarantine/detection.rs
@@ -22,11 +22,15 @@
     CrashWhileWaiting(&'static [PromptPartId]),
     /// A request with these parts is answered.
     Answer(&'static [PromptPartId]),
+    /// The target that has just crashed had sent the first event of another request with these parts.
+    StartedAtSameTarget(&'static [PromptPartId]),
     /// The target that has just crashed was beginning to answer another request with these parts.
     CrashOfSameTarget(&'static [PromptPartId]),
     Wait(Duration),
 }
-use Step::{Answer, Crash, CrashAfterEvent, CrashOfSameTarget, CrashWhileWaiting, Wait};
+use Step::{
+    Answer, Crash, CrashAfterEvent, CrashOfSameTarget, CrashWhileWaiting, StartedAtSameTarget, Wait,
+};
 
 /// Repeats `steps` `CRASHES` times, with `INTERVAL` between the repetitions, and checks which of
 /// `requests` are sent afterwards.
@@ -49,6 +53,9 @@
                     fixture.sign(0, LifeSign::FirstEvent, parts);
                     fixture.crash_of(1_000 + round, 0, Progress::Started, parts);
                 }
+                StartedAtSameTarget(parts) => {
+                    fixture.crash_of(1_000 + round, 0, Progress::Started, parts);
+                }
                 CrashOfSameTarget(parts) => {
                     fixture.crash_of(1_000 + round, 0, Progress::Begun, parts);
                 }
@@ -141,6 +148,16 @@
             ],
             &[(&[FIRST, CRASHING], true), (&[FIRST, SOUND], false)],
         ),
+        /// Guards against such targets that go unnoticed because others of their requests have just
+        /// begun.
+        crashes_before_any_head_beside_others: (
+            2 * CRASHES + 1, Duration::from_secs(1),
+            &[
+                Answer(&[FIRST, SOUND]), Answer(&[FIRST]), CrashWhileWaiting(&[FIRST, CRASHING]),
+                StartedAtSameTarget(&[FIRST, SOUND]),
+            ],
+            &[(&[FIRST, CRASHING], true), (&[FIRST, SOUND], false)],
+        ),
         /// Guards against targets that crash before they send the head of an answer.
         crashes_before_any_head: (
             2 * CRASHES + 1, Duration::from_secs(1),
