lib, gateway: name the stages of an answer

LifeSign becomes AnswerStage, with the stages FirstEvent and Sustained; the functions that record, apply and publish them follow. Comments wrap at the width of the others. No change of behaviour.

--- a/gateway/src/quarantine/decisions.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -6,7 +6,7 @@
     forward::Progress,
     ids::PromptPartId,
     placement::Choice,
-    quarantine::{CrashId, Detection, LifeSign, News, PartSet, Refusal, RequestLoss},
+    quarantine::{AnswerStage, CrashId, Detection, News, PartSet, Refusal, RequestLoss},
 };
 use log::{info, warn};
 use std::time::Instant;
@@ -33,9 +33,10 @@
         self.state().quarantine.is_suspected(parts, self.clock.now())
     }
 
-    /// Records that a request with `parts` has given `sign`, so that they do not crash its target.
-    pub(crate) fn record_sign(&self, sign: LifeSign, parts: &PartSet) {
-        self.state().quarantine.record_sign(sign, parts, self.clock.now());
+    /// Records that the answer to a request with `parts` has reached `stage`, so that they do not
+    /// crash its target.
+    pub(crate) fn record_stage(&self, stage: AnswerStage, parts: &PartSet) {
+        self.state().quarantine.record_stage(stage, parts, self.clock.now());
     }
 
     /// Reports that the connection to the target of a request with `parts` was lost, which may be a
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -13,7 +13,7 @@
 use fulmarhead_lib::{
     forward::{Call, Failure, Sent},
     placement::AttemptResult,
-    quarantine::LifeSign,
+    quarantine::AnswerStage,
 };
 use fulmarhead_platform::caller_response_headers;
 use http_body_util::BodyExt;
@@ -47,7 +47,7 @@
     let result = read_body(context, &call, body).await;
     drop(connection);
     match result {
-        Ok(_) if head.is_success() => context.gateway.record_sign(LifeSign::Survival, parts),
+        Ok(_) if head.is_success() => context.gateway.record_stage(AnswerStage::Sustained, parts),
         Err(BodyReadError::Lost) => context.gateway.report_loss(&choice, work.progress(), parts),
         _ => {}
     }
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -11,7 +11,7 @@
 use fulmarhead_lib::{
     forward::{EventError, EventRun, Failure, Progress, Pushed, Silent, StreamPosition, Writing},
     placement::AttemptResult,
-    quarantine::{LifeSign, PartSet},
+    quarantine::{AnswerStage, PartSet},
 };
 use fulmarhead_platform::caller_response_headers;
 use futures::Stream;
@@ -140,8 +140,8 @@
         None => times.response.first_byte = now,
     }
     times.last_chunk = Some(now);
-    if let Some(sign) = target_response.work.record_events() {
-        context.gateway.record_sign(sign, &context.head.shared_parts);
+    if let Some(stage) = target_response.work.record_events() {
+        context.gateway.record_stage(stage, &context.head.shared_parts);
     }
 }
 
@@ -151,8 +151,8 @@
     times: StreamTimes,
 ) {
     target_response.work.set_result(AttemptResult::Answered);
-    if let Some(sign) = target_response.work.record_sign(LifeSign::Survival) {
-        context.gateway.record_sign(sign, &context.head.shared_parts);
+    if let Some(stage) = target_response.work.record_stage(AnswerStage::Sustained) {
+        context.gateway.record_stage(stage, &context.head.shared_parts);
     }
     let (request, target) = (&context.head.request_id, target_response.call.target());
     let times = ResponseTimes { total: context.elapsed(), ..times.response };
--- a/gateway/src/serve/in_flight.rs
+++ b/gateway/src/serve/in_flight.rs
@@ -6,7 +6,7 @@
     forward::Progress,
     ids::TargetId,
     placement::{AttemptResult, Choice, Work, WorkId},
-    quarantine::{LifeSign, SURVIVAL_TIME},
+    quarantine::{AnswerStage, SUSTAINED_TIME},
 };
 use std::{sync::Arc, time::Instant};
 
@@ -34,8 +34,8 @@
     has_begun: bool,
     /// Time of the first event.
     first_event: Option<Instant>,
-    /// Last sign that the request does not crash its target.
-    life_sign: Option<LifeSign>,
+    /// Latest stage that the answer has reached.
+    stage: Option<AnswerStage>,
     result: AttemptResult,
 }
 
@@ -79,7 +79,7 @@
             has_responded: false,
             has_begun: false,
             first_event: None,
-            life_sign: None,
+            stage: None,
             result,
         }
     }
@@ -104,7 +104,7 @@
     pub(super) fn progress(&self) -> Progress {
         let now = self.gateway.clock.now();
         match self.first_event {
-            Some(at) if now.saturating_duration_since(at) < SURVIVAL_TIME => Progress::Started,
+            Some(at) if now.saturating_duration_since(at) < SUSTAINED_TIME => Progress::Started,
             Some(_) => Progress::Streaming,
             None if self.has_begun => Progress::Begun,
             None => Progress::Waiting,
@@ -116,21 +116,22 @@
         self.has_begun = true;
     }
 
-    /// Records that events have arrived. Returns the sign of life that they give, if it is new.
-    pub(super) fn record_events(&mut self) -> Option<LifeSign> {
+    /// Records that events have arrived. Returns the stage that the answer reaches with them, if that
+    /// is new.
+    pub(super) fn record_events(&mut self) -> Option<AnswerStage> {
         self.record_activity();
         self.first_event.get_or_insert(self.gateway.clock.now());
-        self.record_sign(match self.progress() {
-            Progress::Streaming => LifeSign::Survival,
-            _ => LifeSign::FirstEvent,
+        self.record_stage(match self.progress() {
+            Progress::Streaming => AnswerStage::Sustained,
+            _ => AnswerStage::FirstEvent,
         })
     }
 
-    /// Records a sign that the request does not crash its target, and returns it if it is new.
-    pub(super) fn record_sign(&mut self, sign: LifeSign) -> Option<LifeSign> {
-        let is_new = self.life_sign < Some(sign);
-        self.life_sign = self.life_sign.max(Some(sign));
-        is_new.then_some(sign)
+    /// Records that the answer has reached `stage`, and returns it if that is new.
+    pub(super) fn record_stage(&mut self, stage: AnswerStage) -> Option<AnswerStage> {
+        let is_new = self.stage < Some(stage);
+        self.stage = self.stage.max(Some(stage));
+        is_new.then_some(stage)
     }
 
     /// Sets the result to report when the work ends; `Abandoned` if it is never set.
--- a/lib/src/quarantine/answers.rs
+++ b/lib/src/quarantine/answers.rs
@@ -14,13 +14,13 @@
 /// Last answer to a request with a certain part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Answer {
-    /// Time at which the answer gave the sign of life that is recorded.
+    /// Time at which the answer reached the stage that is recorded.
     at: Instant,
     /// Version of the last change that matters to peers; 0 if there was none.
     version: Version,
 }
 
-/// The most recently answered parts, by one sign of life, in bounded memory.
+/// The most recently answered parts, by one stage of the answer, in bounded memory.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AnswerLog {
     current: BTreeMap<PromptPartId, Answer>,
--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -1,6 +1,6 @@
 //! One crash of a target, and the parts of the requests that may have caused it.
 
-use super::{LifeSign, PartSet, Version};
+use super::{AnswerStage, PartSet, Version};
 use crate::{
     forward::Progress,
     ids::{PromptPartId, TargetId},
@@ -146,9 +146,9 @@
         self.was_answering_all(parts) || parts.is_subset(&self.waiting)
     }
 
-    /// Removes `part` from the suspects as far as `sign` clears it, and returns whether it was one.
-    pub(super) fn clear(&mut self, part: PromptPartId, sign: LifeSign) -> bool {
-        let was_started = sign == LifeSign::Survival && self.started.remove(&part);
+    /// Removes `part` from the suspects as far as `stage` clears it, and returns whether it was one.
+    pub(super) fn clear(&mut self, part: PromptPartId, stage: AnswerStage) -> bool {
+        let was_started = stage == AnswerStage::Sustained && self.started.remove(&part);
         let was_begun = self.begun.remove(&part) || self.waiting.remove(&part);
         was_started || was_begun
     }
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -1,7 +1,7 @@
 //! Detection of the parts that crash targets.
 
 use super::{
-    Detection, LifeSign, PartSet, Quarantine,
+    AnswerStage, Detection, PartSet, Quarantine,
     crash::{BEGUN_WEIGHT, STARTED_WEIGHT},
     evidence::Suspicion,
     registry::MAX_HOLDS,
@@ -91,7 +91,7 @@
             if self.is_proved(&suspicion) {
                 let rank = (
                     suspicion.weight,
-                    Reverse(self.log(LifeSign::Survival).last(part)),
+                    Reverse(self.log(AnswerStage::Sustained).last(part)),
                     suspicion.crashes,
                 );
                 groups.entry(rank).or_default().insert(part);
@@ -117,13 +117,13 @@
     /// Returns the suspicions of parts that were not answered for some time.
     fn suspicions(&self, now: Instant) -> BTreeMap<PromptPartId, Suspicion> {
         let holds: Vec<&PartSet> = self.holds().collect();
-        let is_silent = |part, sign| {
-            let last = self.log(sign).last(part);
+        let is_silent = |part, stage| {
+            let last = self.log(stage).last(part);
             last.is_none_or(|at| now.saturating_duration_since(at) >= MIN_SILENCE)
         };
-        let begins_none = |part| is_silent(part, LifeSign::FirstEvent);
+        let begins_none = |part| is_silent(part, AnswerStage::FirstEvent);
         let mut suspicions = self.evidence.suspicions(&holds, begins_none, now);
-        suspicions.retain(|part, _| is_silent(*part, LifeSign::Survival));
+        suspicions.retain(|part, _| is_silent(*part, AnswerStage::Sustained));
         suspicions
     }
 
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -1,7 +1,7 @@
 //! Crashes of targets, and the requests that were lost in them.
 
 use super::{
-    LifeSign, PartSet, Version,
+    AnswerStage, PartSet, Version,
     crash::{BEGUN_WEIGHT, Crash, CrashId, STARTED_WEIGHT},
 };
 use crate::ids::{PromptPartId, TargetId};
@@ -100,13 +100,13 @@
         self.counts.contains_key(&part)
     }
 
-    /// Removes `part` from the suspects of the crashes until `at`, when a request with it gave
-    /// `sign`. Returns whether it was one.
-    pub(super) fn clear(&mut self, part: PromptPartId, sign: LifeSign, at: Instant) -> bool {
+    /// Removes `part` from the suspects of the crashes until `at`, when an answer to a request with it
+    /// had reached `stage`. Returns whether it was one.
+    pub(super) fn clear(&mut self, part: PromptPartId, stage: AnswerStage, at: Instant) -> bool {
         let Some(count) = self.counts.get_mut(&part) else { return false };
         let mut cleared = false;
         for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
-            if crash.clear(part, sign) {
+            if crash.clear(part, stage) {
                 cleared = true;
                 *count -= usize::from(!crash.contains(part));
             }
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -30,16 +30,17 @@
 /// Parts of prompts.
 pub type PartSet = BTreeSet<PromptPartId>;
 
-/// Sign that a request has not crashed its target, which clears the parts of its prompt.
+/// Stage of an answer that shows that its request has not crashed the target so far, which clears the
+/// parts of the prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, EnumIter, Serialize, Deserialize)]
-pub enum LifeSign {
+pub enum AnswerStage {
     /// The first event of the answer. The target may still crash because of the request, but not
     /// before it writes, as other targets did.
     FirstEvent,
-    /// The answer is complete, or has gone on for [`SURVIVAL_TIME`] since its first event.
-    Survival,
+    /// The answer is complete, or has gone on for [`SUSTAINED_TIME`] since its first event.
+    Sustained,
 }
 
 /// Time from the first event of an answer until it shows that the request does not crash its target.
 /// A target may end soon after it has begun to write.
-pub const SURVIVAL_TIME: Duration = Duration::from_millis(300);
+pub const SUSTAINED_TIME: Duration = Duration::from_millis(300);
--- a/lib/src/quarantine/news.rs
+++ b/lib/src/quarantine/news.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are sent as ages, since the clocks of entries differ.
 
-use super::{CrashId, LifeSign, PartSet};
+use super::{AnswerStage, CrashId, PartSet};
 use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -38,14 +38,14 @@
     pub had_begun: bool,
 }
 
-/// The last sign of life of a request with a certain part.
+/// The last answer to a request with a certain part that has reached `stage`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerNews {
     /// Part of the prompt.
     pub part: PromptPartId,
-    /// What was seen of the answer.
-    pub sign: LifeSign,
-    /// Time since it was seen.
+    /// Stage that the answer has reached.
+    pub stage: AnswerStage,
+    /// Time since then.
     pub age: Duration,
 }
 
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -1,7 +1,7 @@
 //! Quarantine of an entry: what it knows, what it refuses and what it tells its peers.
 
 use super::{
-    AnswerNews, CrashId, CrashNews, HoldNews, LifeSign, News, PartSet, Refusal, RequestLoss,
+    AnswerNews, AnswerStage, CrashId, CrashNews, HoldNews, News, PartSet, Refusal, RequestLoss,
     Version,
     answers::AnswerLog,
     crash::Crash,
@@ -50,7 +50,7 @@
     spread: f64,
     version: Version,
     first_events: AnswerLog,
-    survivals: AnswerLog,
+    sustained: AnswerLog,
     /// Times of the last `MIN_OTHER_ANSWERS` answers that this entry has seen.
     pub(super) recent_answers: VecDeque<Instant>,
     pub(super) evidence: Evidence,
@@ -65,7 +65,7 @@
             spread: XxHash64::oneshot(0, entry.as_bytes()) as f64 / u64::MAX as f64,
             version: 0,
             first_events: AnswerLog::default(),
-            survivals: AnswerLog::default(),
+            sustained: AnswerLog::default(),
             recent_answers: VecDeque::new(),
             evidence: Evidence::default(),
             held: BTreeMap::new(),
@@ -103,20 +103,20 @@
         self.held.keys().any(|set| set.is_subset(parts))
     }
 
-    /// Records that a request with `parts` has given `sign`, which shows that these do not crash its
-    /// target.
-    pub fn record_sign(&mut self, sign: LifeSign, parts: &PartSet, now: Instant) {
+    /// Records that the answer to a request with `parts` has reached `stage`, which shows that these
+    /// do not crash its target.
+    pub fn record_stage(&mut self, stage: AnswerStage, parts: &PartSet, now: Instant) {
         if parts.is_empty() {
             return;
         }
-        if sign == LifeSign::Survival {
+        if stage == AnswerStage::Sustained {
             self.recent_answers.push_back(now);
             if self.recent_answers.len() > MIN_OTHER_ANSWERS {
                 self.recent_answers.pop_front();
             }
         }
         for &part in parts {
-            self.apply_sign(part, sign, now);
+            self.apply_stage(part, stage, now);
         }
     }
 
@@ -150,9 +150,9 @@
             waiting: crash.waiting.clone(),
             had_begun: crash.had_begun,
         });
-        let answers = LifeSign::iter().flat_map(|sign| {
-            let changed = self.log(sign).changed_since(version);
-            changed.map(move |(part, at)| AnswerNews { part, sign, age: age(at) })
+        let answers = AnswerStage::iter().flat_map(|stage| {
+            let changed = self.log(stage).changed_since(version);
+            changed.map(move |(part, at)| AnswerNews { part, stage, age: age(at) })
         });
         let held = self.held.iter().map(|(set, hold)| (set, hold.since, hold.spell, hold.version));
         let on_trial =
@@ -170,9 +170,9 @@
 
     /// Applies what a peer knows, and returns the parts that are quarantined because of it.
     pub fn merge(&mut self, news: News, now: Instant) -> Vec<Detection> {
-        for AnswerNews { part, sign, age } in news.answers {
+        for AnswerNews { part, stage, age } in news.answers {
             if let Some(at) = now.checked_sub(age) {
-                self.apply_sign(part, sign, at);
+                self.apply_stage(part, stage, at);
             }
         }
         for CrashNews { id, age, begun, started, waiting, had_begun } in news.crashes {
@@ -183,7 +183,7 @@
         let mut detections = Vec::new();
         for HoldNews { mut parts, age, spell } in news.holds {
             let Some(since) = now.checked_sub(age) else { continue };
-            parts.retain(|part| self.survivals.last(*part).is_none_or(|at| at < since));
+            parts.retain(|part| self.sustained.last(*part).is_none_or(|at| at < since));
             if !parts.is_empty() && spell > self.spell(&parts) {
                 detections.push(self.hold(parts, since, spell));
             }
@@ -206,51 +206,51 @@
         self.held.len()
     }
 
-    /// Returns the last signs of life of one kind.
-    pub(super) fn log(&self, sign: LifeSign) -> &AnswerLog {
-        match sign {
-            LifeSign::FirstEvent => &self.first_events,
-            LifeSign::Survival => &self.survivals,
+    /// Returns the last answers that have reached `stage`.
+    pub(super) fn log(&self, stage: AnswerStage) -> &AnswerLog {
+        match stage {
+            AnswerStage::FirstEvent => &self.first_events,
+            AnswerStage::Sustained => &self.sustained,
         }
     }
 
-    fn log_mut(&mut self, sign: LifeSign) -> &mut AnswerLog {
-        match sign {
-            LifeSign::FirstEvent => &mut self.first_events,
-            LifeSign::Survival => &mut self.survivals,
+    fn log_mut(&mut self, stage: AnswerStage) -> &mut AnswerLog {
+        match stage {
+            AnswerStage::FirstEvent => &mut self.first_events,
+            AnswerStage::Sustained => &mut self.sustained,
         }
     }
 
-    /// Records a sign of life at `at`. Peers learn of it only if it clears the part of a crash or a
-    /// hold.
-    fn apply_sign(&mut self, part: PromptPartId, sign: LifeSign, at: Instant) {
-        if self.log(sign).last(part).is_some_and(|known| known >= at) {
+    /// Records that an answer reached `stage` at `at`. Peers learn of it only if it clears the part
+    /// of a crash or a hold.
+    fn apply_stage(&mut self, part: PromptPartId, stage: AnswerStage, at: Instant) {
+        if self.log(stage).last(part).is_some_and(|known| known >= at) {
             return;
         }
-        self.log_mut(sign).insert(part, at);
-        let released = sign == LifeSign::Survival && self.release(part, at);
-        let cleared = self.evidence.clear(part, sign, at);
+        self.log_mut(stage).insert(part, at);
+        let released = stage == AnswerStage::Sustained && self.release(part, at);
+        let cleared = self.evidence.clear(part, stage, at);
         if released || cleared {
-            self.publish_sign(part, sign);
+            self.publish_stage(part, stage);
         }
     }
 
-    fn publish_sign(&mut self, part: PromptPartId, sign: LifeSign) {
+    fn publish_stage(&mut self, part: PromptPartId, stage: AnswerStage) {
         self.version += 1;
         let version = self.version;
-        self.log_mut(sign).publish(part, version);
+        self.log_mut(stage).publish(part, version);
     }
 
-    /// Adds what is known of a crash, without the parts that gave signs of life after it. Those who
-    /// reported the crash may not know of these.
+    /// Adds what is known of a crash, without the parts that were answered after it. Those who
+    /// reported the crash may not know of these answers.
     fn add_crash(&mut self, id: CrashId, mut crash: Crash, now: Instant) {
         let at = self.evidence.crash_time(&id, crash.at);
-        for sign in LifeSign::iter() {
+        for stage in AnswerStage::iter() {
             let is_alive =
-                |part: &PromptPartId| self.log(sign).last(*part).is_some_and(|it| it >= at);
+                |part: &PromptPartId| self.log(stage).last(*part).is_some_and(|it| it >= at);
             let alive: Vec<PromptPartId> = crash.parts().filter(is_alive).collect();
-            for part in alive.into_iter().filter(|part| crash.clear(*part, sign)) {
-                self.publish_sign(part, sign);
+            for part in alive.into_iter().filter(|part| crash.clear(*part, stage)) {
+                self.publish_stage(part, stage);
             }
         }
         let version = self.version + 1;
--- a/lib/tests/quarantine/detection.rs
+++ b/lib/tests/quarantine/detection.rs
@@ -1,7 +1,7 @@
 //! Tests of which part is held responsible for crashes.
 
 use crate::fixture::{CRASHING, CRASHING_TOO, FIRST, Fixture, INTERVAL, SILENCE, SOUND, part_set};
-use fulmarhead_lib::{forward::Progress, ids::PromptPartId, quarantine::LifeSign};
+use fulmarhead_lib::{forward::Progress, ids::PromptPartId, quarantine::AnswerStage};
 use std::time::Duration;
 use testutils::cases;
 
@@ -50,7 +50,7 @@
             match *step {
                 Crash(parts) => fixture.crash(0, parts),
                 CrashAfterEvent(parts) => {
-                    fixture.sign(0, LifeSign::FirstEvent, parts);
+                    fixture.reach(0, AnswerStage::FirstEvent, parts);
                     fixture.crash_of(1_000 + round, 0, Progress::Started, parts);
                 }
                 StartedAtSameTarget(parts) => {
--- a/lib/tests/quarantine/fixture.rs
+++ b/lib/tests/quarantine/fixture.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     forward::Progress,
     ids::PromptPartId,
-    quarantine::{CrashId, LifeSign, PartSet, Quarantine, RequestLoss, Version},
+    quarantine::{AnswerStage, CrashId, PartSet, Quarantine, RequestLoss, Version},
 };
 use std::time::Duration;
 use testutils::ManualClock;
@@ -74,13 +74,13 @@
 
     /// Records that a request with `parts` was answered at `entry`.
     pub(crate) fn answer(&mut self, entry: usize, parts: &[PromptPartId]) {
-        self.sign(entry, LifeSign::FirstEvent, parts);
-        self.sign(entry, LifeSign::Survival, parts);
+        self.reach(entry, AnswerStage::FirstEvent, parts);
+        self.reach(entry, AnswerStage::Sustained, parts);
     }
 
-    /// Records a sign of life of a request with `parts` at `entry`.
-    pub(crate) fn sign(&mut self, entry: usize, sign: LifeSign, parts: &[PromptPartId]) {
-        self.entries[entry].record_sign(sign, &part_set(parts), self.clock.now());
+    /// Records that an answer to a request with `parts` at `entry`.
+    pub(crate) fn reach(&mut self, entry: usize, stage: AnswerStage, parts: &[PromptPartId]) {
+        self.entries[entry].record_stage(stage, &part_set(parts), self.clock.now());
     }
 
     /// Returns whether `entry` would send a request with `parts`.
--- a/lib/tests/quarantine/ordinary.rs
+++ b/lib/tests/quarantine/ordinary.rs
@@ -4,7 +4,7 @@
 use fulmarhead_lib::{
     clock::Clock,
     forward::Progress,
-    quarantine::{CrashId, LifeSign, PartSet, Quarantine, RequestLoss, SURVIVAL_TIME},
+    quarantine::{AnswerStage, CrashId, PartSet, Quarantine, RequestLoss, SUSTAINED_TIME},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -51,7 +51,7 @@
 /// What the entries see of one request.
 #[derive(Clone, Debug)]
 enum Event {
-    Sign(LifeSign, PartSet),
+    Reached(AnswerStage, PartSet),
     Lost(RequestLoss),
 }
 
@@ -130,10 +130,10 @@
         let end = event_at + random.random_range(0.1..MAX_ANSWER);
         let crashes = outages.iter().filter(|it| it.target == target && it.at > at && it.at < end);
         let crash = crashes.map(|it| it.at).min_by(f64::total_cmp);
-        let survived_at = end.min(event_at + SURVIVAL_TIME.as_secs_f64());
-        let signs = [(event_at, LifeSign::FirstEvent), (survived_at, LifeSign::Survival)];
-        for (at, sign) in signs.into_iter().filter(|(at, _)| crash.is_none_or(|it| it >= *at)) {
-            events.push((at, Event::Sign(sign, parts.clone())));
+        let survived_at = end.min(event_at + SUSTAINED_TIME.as_secs_f64());
+        let stages = [(event_at, AnswerStage::FirstEvent), (survived_at, AnswerStage::Sustained)];
+        for (at, stage) in stages.into_iter().filter(|(at, _)| crash.is_none_or(|it| it >= *at)) {
+            events.push((at, Event::Reached(stage, parts.clone())));
         }
         let Some(crash) = crash else { break };
         let progress = match crash {
@@ -173,7 +173,7 @@
         last = at;
         let now = clock.now();
         match event {
-            Event::Sign(sign, parts) => quarantine.record_sign(sign, &parts, now),
+            Event::Reached(stage, parts) => quarantine.record_stage(stage, &parts, now),
             Event::Lost(loss) => holds += quarantine.record_losses(vec![(loss, now)], now).len(),
         }
     }
