lib, gateway: take back the exclusion of targets that refuse connections

Cause: targets that were left out for two seconds all come back into the choice at the same moment, without the back-off that grows with each further failed try, and attract requests as they are idle.

--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -227,8 +227,7 @@
     let is_targets_fault = failure != Failure::Quarantined
         && (!call.deadline().has_passed(now) || waited >= context.silence_timeout());
     if is_targets_fault {
-        let ended = error.is_refused_connection();
-        work.set_result(if ended { AttemptResult::Ended } else { AttemptResult::Failed });
+        work.set_result(AttemptResult::Failed);
     }
     let elapsed = now.saturating_duration_since(context.received_at);
     record::attempt_failed(
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -50,12 +50,6 @@
     pub(super) fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect(_) | Self::ConnectTimeout)
     }
-
-    /// Returns whether the VM of the target refused the connection, as it does when no process
-    /// listens there.
-    pub(super) fn is_refused_connection(&self) -> bool {
-        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
-    }
 }
 
 /// A response whose body has not been read, and the connection that the body comes from. Dropping
--- a/lib/src/placement/health.rs
+++ b/lib/src/placement/health.rs
@@ -11,8 +11,6 @@
     Full,
     /// The address now belongs to another target, or the target is shutting down.
     Gone,
-    /// The target refused the connection, so that its process has ended.
-    Ended,
     /// The target returned an error, closed the stream early or did not answer.
     Failed,
     /// The caller disconnected or the deadline passed, which says nothing about the target.
@@ -26,10 +24,6 @@
 /// compared with the lifetime of a target.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
-/// Time for which a target whose process has ended gets no requests at all, unless its list entry
-/// shows that it has started again. Its entry stays in the list for several seconds.
-const ENDED_TIME: Duration = Duration::from_secs(2);
-
 /// Back-off after a refusal because of overload, about the duration of one short answer.
 const OVERLOAD_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -43,7 +37,6 @@
     consecutive_failures: u32,
     failure_rate: f64,
     backoff_until: Option<Instant>,
-    ended_until: Option<Instant>,
 }
 
 impl Health {
@@ -61,10 +54,6 @@
             }
             AttemptResult::Full => self.backoff_until = Some(now + OVERLOAD_BACKOFF),
             AttemptResult::Gone => self.backoff_until = Some(now + MAX_BACKOFF),
-            AttemptResult::Ended => {
-                self.record_failure(now);
-                self.ended_until = Some(now + ENDED_TIME);
-            }
             AttemptResult::Failed => self.record_failure(now),
             AttemptResult::Abandoned => {}
         }
@@ -75,12 +64,6 @@
         self.backoff_until.is_some_and(|end| now < end)
     }
 
-    /// Returns whether the process of the target has ended, as far as is known at `now`. A request
-    /// would only be refused again.
-    pub fn has_ended(&self, now: Instant) -> bool {
-        self.ended_until.is_some_and(|until| now < until)
-    }
-
     /// Returns the exponential moving average of failures, from 0 to 1.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -174,7 +174,6 @@
         target.member.service == service.id
             && target.member.state == MemberState::Ready
             && !self.notices.is_leaving(id, target.member.started_at)
-            && !target.health.has_ended(now)
             && !self.excluded_zones.contains(&target.member.zone)
             && (target.missing_until.is_none() || target.is_in_grace(now))
     }
--- a/lib/tests/placement/availability.rs
+++ b/lib/tests/placement/availability.rs
@@ -4,10 +4,7 @@
 use fulmarhead_lib::placement::{
     AttemptResult, Backoff, Member, MemberState, PlacementError, Work,
 };
-use std::{
-    collections::BTreeMap,
-    time::{Duration, SystemTime},
-};
+use std::{collections::BTreeMap, time::Duration};
 use testutils::cases;
 
 /// Checks whether the target `t1` gets a request when the time `after` has passed since `change` of
@@ -109,40 +106,5 @@
         failed: (AttemptResult::Failed, Duration::ZERO, Err(PlacementError::Full)),
         failed_after_backoff: (AttemptResult::Failed, SECOND, Ok(())),
         full: (AttemptResult::Full, Duration::ZERO, Err(PlacementError::Full)),
-        /// Guards against requests that wait for a target whose process has ended.
-        ended: (AttemptResult::Ended, SECOND, Err(PlacementError::NoTarget)),
-        ended_long_ago: (AttemptResult::Ended, 2 * SECOND, Ok(())),
-    }
-}
-
-/// Guards against requests that try one ended target after the other while the others are full, as
-/// under a burst soon after crashes, until they have used up their connections.
-#[test]
-fn ended_targets_get_no_requests_while_others_are_full() {
-    let mut fixture = Fixture::new(&[1, 2, 3]);
-    let now = fixture.now();
-    for (target, result) in
-        [("t1", AttemptResult::Ended), ("t2", AttemptResult::Full), ("t3", AttemptResult::Ended)]
-    {
-        let id =
-            fixture.pool.begin_request(target, Work::new(&latency_sensitive(), 10.0, now), now);
-        fixture.pool.end_request(target, id, result, now);
     }
-    let chosen =
-        fixture.pool.choose(&fixture.service, &latency_sensitive(), &[], Backoff::Ignore, 1, now);
-    assert_eq!(chosen.map(|choice| choice.target), Ok("t2".to_owned()));
-}
-
-/// Guards against a target that is left out although it has started again.
-#[test]
-fn restarted_target_is_used_at_once() {
-    let mut fixture = Fixture::new(&[1]);
-    let now = fixture.now();
-    let id = fixture.pool.begin_request("t1", Work::new(&latency_sensitive(), 10.0, now), now);
-    fixture.pool.end_request("t1", id, AttemptResult::Ended, now);
-    assert_eq!(fixture.choose(&latency_sensitive()).map(|_| ()), Err(PlacementError::NoTarget));
-    let mut list = members(&[1]);
-    list.get_mut("t1").unwrap().started_at = Some(SystemTime::UNIX_EPOCH + SECOND);
-    fixture.pool.update_members(list, Duration::ZERO, now);
-    assert!(fixture.choose(&latency_sensitive()).is_ok());
 }
