gateway: record the stage of each request in progress

When a gateway stops, the requests that it can't complete in the grace period end with their process. The log said only that a child did not stop in time, so that the hypotheses about answers lost around SIGTERM could not be told apart: a request that waits for capacity, one at a target that has not begun to answer, and a stream in progress.

Each request now has a stage. Those that are cut are logged with it, counted in fulmarhead_cut_requests_total, and the state dump counts the open ones by stage. Nothing else changes.

--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -35,6 +35,7 @@
             "quarantined_parts": encode(&quarantine.held),
             "parts_on_trial": encode(&quarantine.on_trial),
             "target_crashes": quarantine.crashes,
+            "open_requests": self.open_requests.count_stages(),
             "entries": entry_count,
             "relay": is_relay,
             "peers": links,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
     leases::{LeaseReceiver, LeaseSender},
     peers::Fetch,
     quarantine::{LossReceiver, LossSender},
+    serve::OpenRequests,
     shortage::Shortage,
     store::{StorePart, is_stale},
 };
@@ -20,7 +21,7 @@
 };
 use fulmarhead_platform::{NodeSettings, OrderClient, StoreClient};
 use fulmarhead_runtime::http::BodyBudget;
-use log::info;
+use log::{info, warn};
 use std::{
     collections::{BTreeMap, BTreeSet},
     future::pending,
@@ -66,6 +67,8 @@
     pub(crate) clock: SharedClock,
     /// Memory for the bodies of callers and of collected responses.
     pub(crate) bodies: BodyBudget,
+    /// Requests of callers that are in progress.
+    pub(crate) open_requests: OpenRequests,
     pub(crate) store: StoreClient,
     pub(crate) orders: OrderClient,
     pub(crate) lease_sender: LeaseSender,
@@ -128,6 +131,7 @@
         let roster = Roster::new(settings.control_address, info, &settings.seeds, clock.now());
         let gateway = Self {
             bodies: BodyBudget::new(settings.memory_bytes, Arc::clone(&clock)),
+            open_requests: OpenRequests::new(Arc::clone(&clock)),
             orders: OrderClient::default(),
             lease_sender,
             loss_sender,
@@ -285,4 +289,17 @@
         let schedule = StopSchedule::new(self.clock.now(), self.settings.termination_grace);
         self.state().stop = Some(schedule);
     }
+
+    /// Records the requests that the end of the process cuts off.
+    pub(crate) fn record_cut_requests(&self) {
+        for (record, elapsed) in self.open_requests.list() {
+            let stage = <&'static str>::from(record.stage);
+            metrics::counter!("fulmarhead_cut_requests_total", "stage" => stage).increment(1);
+            let (request, total_ms) = (record.request, elapsed.as_millis() as u64);
+            warn!(
+                target: "decision", request, stage, total_ms;
+                "request is still in progress at the end of the grace period"
+            );
+        }
+    }
 }
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 use super::{
     handle::RequestContext,
     in_flight::InFlightWork,
+    open_requests::Stage,
     record,
     send::{OpenResponse, PendingResponse, SendError, TargetConnection},
     waiting::choose_servable,
@@ -104,6 +105,7 @@
     let mut work = InFlightWork::begin(context, &service, &choice, leases);
     context.record_sent(&route_match, &service, &choice);
     let call = call.send(choice.target.clone());
+    context.open.set_stage(Stage::Sent);
     let attempt_number = context.next_attempt();
     let remaining = call.deadline().remaining(now);
     record::target_chosen(
@@ -262,6 +264,7 @@
     let verdict = head.verdict();
     if verdict == Verdict::Answer {
         work.record_begin();
+        context.open.set_stage(Stage::Responding);
         let (headers, connection) = (parts.headers, open_response.connection);
         return Ok(TargetResponse { call, choice, head, headers, body, work, connection });
     }
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -3,7 +3,9 @@
 use super::{
     attempt::{FailedAttempt, run_attempt},
     body::ResponseBody,
-    buffered, events, record,
+    buffered, events,
+    open_requests::{OpenRequest, Stage},
+    record,
     refusal::{DEFAULT_RETRY_DELAY, pause_delay, problem_response, refusal_response, retry_delay},
     request_body::read_body,
     waiting::WaitingPlace,
@@ -77,6 +79,7 @@
     service_draw: f64,
     /// Number of attempts so far, including those without a connection.
     attempts: AtomicUsize,
+    pub(super) open: OpenRequest,
     /// Place in the queue of requests that wait for capacity.
     pub(super) place: WaitingPlace,
 }
@@ -155,11 +158,13 @@
     };
     let time_limit = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route_match.route.timeout);
     let deadline = Deadline::after(received_at, time_limit);
+    let open = OpenRequest::begin(&gateway, &head.request_id);
     let limits = BodyLimits { bytes: table.limits().body_bytes, time: time_limit, copies: 1 };
     let body = match read_body(&gateway, &head, body, limits).await {
         Ok(body) => body,
         Err(refusal) => return refusal,
     };
+    open.set_stage(Stage::Waiting);
     let now = gateway.clock.now();
     let stop = gateway.state().stop;
     if stop.is_some_and(|stop| !stop.admits(route_match.route.retry_policy, deadline, now)) {
@@ -169,6 +174,7 @@
         profile: request_profile(&head, &route_match),
         streaming: route_match.route.streaming,
         route_timeout: route_match.route.timeout,
+        open,
         place: WaitingPlace::new(&gateway),
         gateway,
         head,
@@ -255,6 +261,7 @@
             },
             Err(failed) => failed,
         };
+        context.open.set_stage(Stage::Waiting);
         if failed.failure == Failure::Overloaded && context.wait_for_capacity(&failed.call).await {
             call = failed.call;
             continue;
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod handle;
 mod in_flight;
 mod listener;
+mod open_requests;
 mod record;
 mod refusal;
 mod request_body;
@@ -14,4 +15,7 @@
 mod waiting;
 mod waiting_record;
 
-pub(crate) use self::listener::{CallerServer, max_connections};
+pub(crate) use self::{
+    listener::{CallerServer, max_connections},
+    open_requests::OpenRequests,
+};
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -116,6 +116,8 @@
     gateway.begin_stop();
     sleep(DEREGISTRATION_DELAY).await;
     draining.stop(stop);
+    sleep(StopSchedule::end_delay(gateway.settings.termination_grace)).await;
+    gateway.record_cut_requests();
     pending().await
 }
 
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -36,6 +36,11 @@
         grace.mul_f64(ABORT_TIME_SHARE).saturating_sub(DEREGISTRATION_DELAY)
     }
 
+    /// Returns the time after [`DEREGISTRATION_DELAY`] by which requests must have ended.
+    pub fn end_delay(grace: Duration) -> Duration {
+        Self::abort_delay(grace).saturating_sub(END_MARGIN)
+    }
+
     /// Returns whether a request that has arrived completely at `now` is taken.
     ///
     /// One that is certain to end before the abort always is. Of the others, those that may be
