gateway: answer requests in progress before the process ends

From 2.6 s after SIGTERM the tree waits for the requests in progress, and at 7.52 s it gave up and the process ended with them, whatever they waited for. Only streams in progress are excused by that. A request that waits for capacity has not run and one without a response head may be repeated, but neither was said. The six tests of the stop failed for this reason, and the log of the process named the stages receiving, waiting, sent and responding.

At 7.43 s of 8 s all requests in progress are now ended by the path that any failed attempt takes, so that the type of the call decides what the response says: 503 and not run if no target can have it, else 502 and unknown. Streams in progress end with their connection, and are logged. Nothing is sent to a target after that.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
     time::Duration,
 };
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// Maximum age of the configuration under which a key is accepted, as a share of the time after
 /// which a revoked key must be refused; the rest covers clocks that run at different rates.
@@ -79,6 +80,8 @@
     pub(crate) config_version: watch::Sender<u64>,
     /// Counts the updates that must be sent to the other entries immediately.
     pub(crate) peer_updates: watch::Sender<u64>,
+    /// Cancelled when requests in progress have to end, because the process does.
+    pub(crate) end_requests: CancellationToken,
     /// Counts the changes of the quarantined parts.
     pub(crate) quarantine_updates: watch::Sender<u64>,
     state: Mutex<GatewayState>,
@@ -142,6 +145,7 @@
             clock,
             config_version: watch::Sender::new(0),
             peer_updates: watch::Sender::new(0),
+            end_requests: CancellationToken::new(),
             quarantine_updates: watch::Sender::new(0),
             state: Mutex::new(state),
         };
@@ -290,16 +294,18 @@
         self.state().stop = Some(schedule);
     }
 
-    /// Records the requests that the end of the process cuts off.
-    pub(crate) fn record_cut_requests(&self) {
+    /// Ends the requests that are still in progress, since the process is about to end.
+    pub(crate) fn end_requests(&self) {
         for (record, elapsed) in self.open_requests.list() {
             let stage = <&'static str>::from(record.stage);
-            metrics::counter!("fulmarhead_cut_requests_total", "stage" => stage).increment(1);
+            metrics::counter!("fulmarhead_requests_ended_by_stop_total", "stage" => stage)
+                .increment(1);
             let (request, total_ms) = (record.request, elapsed.as_millis() as u64);
             warn!(
                 target: "decision", request, stage, total_ms;
-                "request is still in progress at the end of the grace period"
+                "request is still in progress at the end of the grace period; ending it"
             );
         }
+        self.end_requests.cancel();
     }
 }
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -71,6 +71,9 @@
     last_event: Option<u64>,
 ) -> Result<TargetResponse, FailedAttempt> {
     let (gateway, parts) = (&context.gateway, &context.head.shared_parts);
+    if gateway.end_requests.is_cancelled() {
+        return Err(FailedAttempt::new(call, Failure::Stopping));
+    }
     if gateway.quarantine_refusal(parts).is_some() {
         return Err(FailedAttempt::new(call, Failure::Quarantined));
     }
@@ -90,8 +93,13 @@
             return Err(FailedAttempt { retry_after: Some(pause), ..failed });
         }
     };
-    let Ok(leases) = acquire_leases(gateway, &context.head.request_id, &choice.helpers).await
-    else {
+    let leases = tokio::select! {
+        leases = acquire_leases(gateway, &context.head.request_id, &choice.helpers) => leases,
+        () = gateway.end_requests.cancelled() => {
+            return Err(FailedAttempt::new(call, Failure::Stopping));
+        }
+    };
+    let Ok(leases) = leases else {
         return Err(FailedAttempt::new(call, Failure::Overloaded));
     };
     let now = gateway.clock.now();
@@ -120,6 +128,7 @@
         biased;
         result = send => result,
         () = gateway.wait_quarantined(parts) => Err(SendError::Quarantined),
+        () = gateway.end_requests.cancelled() => Err(SendError::Stopping),
     };
     let open_response = match result {
         Ok(open_response) => open_response,
@@ -223,12 +232,13 @@
         SendError::Timeout => Failure::Timeout,
         SendError::Silent(_) => Failure::Silent,
         SendError::Quarantined => Failure::Quarantined,
+        SendError::Stopping => Failure::Stopping,
         _ => Failure::ConnectionLost,
     };
     let waited = now.saturating_duration_since(work.started_at);
     // A deadline that passed before the silence timeout says nothing about the target.
-    // Neither does the quarantine of a part.
-    let is_targets_fault = failure != Failure::Quarantined
+    // Neither does the quarantine of a part or the stop of this entry.
+    let is_targets_fault = !matches!(failure, Failure::Quarantined | Failure::Stopping)
         && (!call.deadline().has_passed(now) || waited >= context.silence_timeout());
     if is_targets_fault {
         work.set_result(match error.is_unsent() {
--- a/gateway/src/serve/body.rs
+++ b/gateway/src/serve/body.rs
@@ -16,6 +16,9 @@
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
     Timeout,
+    /// The process is about to end.
+    #[error("the entry is stopping")]
+    Stopping,
 }
 
 /// Body of a response to a caller.
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -45,7 +45,11 @@
         target_response;
     work.record_activity();
     let parts = &context.head.shared_parts;
-    let result = read_body(context, &call, body).await;
+    let result = tokio::select! {
+        biased;
+        result = read_body(context, &call, body) => result,
+        () = context.gateway.end_requests.cancelled() => Err(BodyReadError::Stopping),
+    };
     drop(connection);
     match result {
         Ok(_) if head.is_success() => context.gateway.record_stage(AnswerStage::Sustained, parts),
@@ -76,7 +80,9 @@
         }
         Err(error) => (error.into(), error.to_string()),
     };
-    work.set_result(AttemptResult::Failed);
+    if failure != Failure::Stopping {
+        work.set_result(AttemptResult::Failed);
+    }
     let (target, progress) = (call.target(), work.progress());
     record::attempt_failed(&context.head, target, progress, &reason, context.elapsed());
     Err(FailedAttempt { call: call.record_lost(), failure, retry_after: None })
@@ -98,6 +104,9 @@
     /// The deadline passed.
     #[error("answer took too long")]
     Timeout,
+    /// The process is about to end.
+    #[error("the entry is stopping")]
+    Stopping,
 }
 
 impl From<BufferError> for BodyReadError {
@@ -116,6 +125,7 @@
             BodyReadError::Lost | BodyReadError::TooLarge => Self::BadAnswer,
             BodyReadError::Stalled => Self::Silent,
             BodyReadError::Timeout => Self::Timeout,
+            BodyReadError::Stopping => Self::Stopping,
         }
     }
 }
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -110,6 +110,7 @@
                     );
                     yield Err(match failure {
                         Failure::Timeout => BodyError::Timeout,
+                        Failure::Stopping => BodyError::Stopping,
                         _ => BodyError::TargetInterrupted,
                     });
                     return;
@@ -224,8 +225,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the connection failed, the deadline passed, or a part of the prompt was
-/// quarantined. Silence is an error only if the stream can be resumed at another target.
+/// Returns an error if the connection failed, the deadline passed, a part of the prompt was
+/// quarantined, or this entry is about to end. Silence is an error only if the stream can be resumed at another target.
 async fn read_bytes(
     context: &RequestContext,
     target_response: &mut TargetResponse,
@@ -248,6 +249,7 @@
             () = context.gateway.wait_quarantined(unanswered_parts) => {
                 return Err(Failure::Quarantined);
             }
+            () = context.gateway.end_requests.cancelled() => return Err(Failure::Stopping),
         };
         match frame {
             Ok(Some(Ok(frame))) => return Ok(Some(frame_data(frame))),
@@ -278,13 +280,16 @@
     drop((connection, body));
     let target = call.target().clone();
     // Otherwise the result stays `Abandoned`, which does not count against the target.
-    if !matches!(failure, Failure::Timeout | Failure::Quarantined) {
+    if !matches!(failure, Failure::Timeout | Failure::Quarantined | Failure::Stopping) {
         work.set_result(AttemptResult::Failed);
     }
     let progress = work.progress();
     drop(work);
     record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
     let mut call = call.record_lost();
+    if failure == Failure::Stopping {
+        return None;
+    }
     // A stream without a length ends without an error when its target crashes.
     if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
         let parts = &context.head.shared_parts;
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -160,7 +160,13 @@
     let deadline = Deadline::after(received_at, time_limit);
     let open = OpenRequest::begin(&gateway, &head.request_id);
     let limits = BodyLimits { bytes: table.limits().body_bytes, time: time_limit, copies: 1 };
-    let body = match read_body(&gateway, &head, body, limits).await {
+    let body = tokio::select! {
+        body = read_body(&gateway, &head, body, limits) => body,
+        () = gateway.end_requests.cancelled() => {
+            return refuse_unsent(&gateway, &head, Failure::Stopping, received_at);
+        }
+    };
+    let body = match body {
         Ok(body) => body,
         Err(refusal) => return refusal,
     };
@@ -250,7 +256,7 @@
 async fn forward(context: RequestContext, mut call: Call<Unsent>) -> Response<ResponseBody> {
     let last_event = context.head.last_event;
     loop {
-        let failed = match run_attempt(&context, call, last_event).await {
+        let mut failed = match run_attempt(&context, call, last_event).await {
             Ok(target_response) if context.is_stream(&target_response.head) => {
                 return events::stream_response(context, target_response);
             }
@@ -262,9 +268,14 @@
             Err(failed) => failed,
         };
         context.open.set_stage(Stage::Waiting);
-        if failed.failure == Failure::Overloaded && context.wait_for_capacity(&failed.call).await {
-            call = failed.call;
-            continue;
+        if failed.failure == Failure::Overloaded {
+            match context.wait_for_capacity(&failed.call).await {
+                Ok(()) => {
+                    call = failed.call;
+                    continue;
+                }
+                Err(failure) => failed.failure = failure,
+            }
         }
         let now = context.gateway.clock.now();
         let is_final = matches!(
@@ -273,6 +284,7 @@
                 | Failure::StaleConfiguration
                 | Failure::Quarantined
                 | Failure::Paused
+                | Failure::Stopping
         );
         if is_final || !failed.call.may_send(now) || context.should_give_up(&failed) {
             let forecast_delay = context.return_delay(&failed);
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -40,6 +40,9 @@
     /// A part of the prompt was quarantined while the target had not begun to answer.
     #[error("a part of the prompt was quarantined")]
     Quarantined,
+    /// The entry is stopping, and the target had not begun to answer.
+    #[error("the entry is stopping")]
+    Stopping,
     /// The target sent no response head before the deadline.
     #[error("no answer within the time limit")]
     Timeout,
--- a/gateway/src/serve/waiting.rs
+++ b/gateway/src/serve/waiting.rs
@@ -112,28 +112,52 @@
 }
 
 impl RequestContext {
-    /// Waits until the call may be sent again. Returns false if it is to be refused.
-    pub(super) async fn wait_for_capacity(&self, call: &Call<Unsent>) -> bool {
+    /// Waits until the call may be sent again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the call is to be refused.
+    pub(super) async fn wait_for_capacity(&self, call: &Call<Unsent>) -> Result<(), Failure> {
+        tokio::select! {
+            biased;
+            result = self.wait_turn(call) => result,
+            () = self.gateway.end_requests.cancelled() => {
+                self.give_up_place();
+                Err(Failure::Stopping)
+            }
+        }
+    }
+
+    async fn wait_turn(&self, call: &Call<Unsent>) -> Result<(), Failure> {
         loop {
             match self.next_step(call) {
-                Step::Refuse => return false,
-                Step::Poll if !self.may_wait_for_capacity(call) => return false,
+                Step::Refuse => return Err(Failure::Overloaded),
+                Step::Poll if !self.may_wait_for_capacity(call) => return Err(Failure::Overloaded),
                 Step::Poll => {
                     sleep(CAPACITY_CHECK_INTERVAL).await;
-                    return true;
+                    return Ok(());
                 }
                 Step::Wait { limit, waker, is_next } => {
                     let limit = if is_next { limit.min(CAPACITY_CHECK_INTERVAL) } else { limit };
                     // The end of the time is no error: the next step is decided again.
                     let _ = timeout(limit, waker.notified()).await;
                     if self.is_next() {
-                        return true;
+                        return Ok(());
                     }
                 }
             }
         }
     }
 
+    /// Gives up the place in the queue of a request that is refused.
+    fn give_up_place(&self) {
+        let now = self.gateway.clock.now();
+        let waited = self.place.leave(&mut self.gateway.state().shortage, now);
+        if let Some(waited) = waited {
+            record::wait_ended(&self.head.request_id, waited, false);
+        }
+    }
+
     /// Records that the request is sent to the target of `choice`, which ends its wait.
     pub(super) fn record_sent(&self, route_match: &RouteMatch, service: &Service, choice: &Choice) {
         if service.engine.is_none() {
@@ -200,11 +224,8 @@
             },
             Decision::Refuse(cause) => cause,
         };
-        let waited = self.place.leave(&mut state.shortage, now);
         drop(state);
-        if let Some(waited) = waited {
-            record::wait_ended(&self.head.request_id, waited, false);
-        }
+        self.give_up_place();
         record::refused_by_forecast(&self.head.request_id, cause, &forecast, &standing);
         Step::Refuse
     }
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -117,7 +117,7 @@
     sleep(DEREGISTRATION_DELAY).await;
     draining.stop(stop);
     sleep(StopSchedule::end_delay(gateway.settings.termination_grace)).await;
-    gateway.record_cut_requests();
+    gateway.end_requests();
     pending().await
 }
 
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -7,18 +7,19 @@
 /// balancer probes once a second, and stops sending connections after two failed probes.
 pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 
-/// Time after the begin of the stop at which requests in progress are aborted, as a share of the
-/// grace period after which the process is killed.
-const ABORT_TIME_SHARE: f64 = 0.94;
+/// Time after the begin of the stop at which connections are aborted, as a share of the grace period
+/// after which the process is killed.
+const ABORT_TIME_SHARE: f64 = 0.96;
 
-/// Time by which a request must be able to end before it would be aborted.
-const END_MARGIN: Duration = Duration::from_millis(100);
+/// Time before the abort at which requests in progress are ended, so that their responses reach the
+/// callers.
+const END_MARGIN: Duration = Duration::from_millis(250);
 
 /// Times of the stop of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     deregistered_at: Instant,
-    aborts_at: Instant,
+    ends_at: Instant,
 }
 
 impl StopSchedule {
@@ -27,27 +28,27 @@
     pub fn new(now: Instant, grace: Duration) -> Self {
         Self {
             deregistered_at: now + DEREGISTRATION_DELAY,
-            aborts_at: now + grace.mul_f64(ABORT_TIME_SHARE),
+            ends_at: now + DEREGISTRATION_DELAY + Self::end_delay(grace),
         }
     }
 
-    /// Returns the time after [`DEREGISTRATION_DELAY`] until requests in progress are aborted.
+    /// Returns the time after [`DEREGISTRATION_DELAY`] until connections are aborted.
     pub fn abort_delay(grace: Duration) -> Duration {
         grace.mul_f64(ABORT_TIME_SHARE).saturating_sub(DEREGISTRATION_DELAY)
     }
 
-    /// Returns the time after [`DEREGISTRATION_DELAY`] by which requests must have ended.
+    /// Returns the time after [`DEREGISTRATION_DELAY`] until requests in progress are ended.
     pub fn end_delay(grace: Duration) -> Duration {
         Self::abort_delay(grace).saturating_sub(END_MARGIN)
     }
 
     /// Returns whether a request that has arrived completely at `now` is taken.
     ///
-    /// One that is certain to end before the abort always is. Of the others, those that may be
+    /// One that is certain to end before it would be ended always is. Of the others, those that may be
     /// repeated are taken while the load balancer still sends connections, since most end long
     /// before their deadline and callers can retry only a few times.
     pub fn admits(&self, retry_policy: RetryPolicy, deadline: Deadline, now: Instant) -> bool {
-        deadline.has_passed(self.aborts_at - END_MARGIN)
+        deadline.has_passed(self.ends_at)
             || (retry_policy.allows_retry() && now < self.deregistered_at)
     }
 }
