gateway: refuse waiting prompts that can't be served before the stop ends them

A caller whose prompt waited for capacity at a stopping entry was held until the end of the grace period, also if the model said from the begin that no engine could take the prompt by then. It could have returned to another entry seconds earlier.

The time that a request has left is now its own or that until the stop ends it, whichever is shorter, both in the decision whether to wait and in the check before a prompt is sent. Waiting requests decide again when the stop begins.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -291,7 +291,10 @@
     /// might not end in time are refused.
     pub(crate) fn begin_stop(&self) {
         let schedule = StopSchedule::new(self.clock.now(), self.settings.termination_grace);
-        self.state().stop = Some(schedule);
+        let mut state = self.state();
+        state.stop = Some(schedule);
+        // Those that can't be served before the end are refused now.
+        state.shortage.wake_all();
     }
 
     /// Ends the requests that are still in progress, since the process is about to end.
--- a/gateway/src/serve/waiting.rs
+++ b/gateway/src/serve/waiting.rs
@@ -74,8 +74,8 @@
 enum Step {
     /// It checks again, as long as it would without a forecast.
     Poll,
-    /// It is refused.
-    Refuse,
+    /// It is refused for this reason.
+    Refuse(Failure),
     /// It waits until it is woken or the time has passed.
     Wait { limit: Duration, waker: Arc<Notify>, is_next: bool },
 }
@@ -131,7 +131,7 @@
     async fn wait_turn(&self, call: &Call<Unsent>) -> Result<(), Failure> {
         loop {
             match self.next_step(call) {
-                Step::Refuse => return Err(Failure::Overloaded),
+                Step::Refuse(failure) => return Err(failure),
                 Step::Poll if !self.may_wait_for_capacity(call) => return Err(Failure::Overloaded),
                 Step::Poll => {
                     sleep(CAPACITY_CHECK_INTERVAL).await;
@@ -206,9 +206,11 @@
     fn next_step(&self, call: &Call<Unsent>) -> Step {
         let now = self.gateway.clock.now();
         if call.is_retry() || !call.may_send(now) {
-            return Step::Refuse;
+            return Step::Refuse(Failure::Overloaded);
         }
-        let Ok((route_match, service)) = self.select_service() else { return Step::Refuse };
+        let Ok((route_match, service)) = self.select_service() else {
+            return Step::Refuse(Failure::Overloaded);
+        };
         if service.engine.is_none() {
             return Step::Poll;
         }
@@ -216,18 +218,23 @@
         let (forecast, standing) = self.outlook(&mut state, &service, call, now);
         let waiter = self.waiter(&route_match, &service, &forecast, &standing, now);
         let is_queued = self.place.is_held() || state.shortage.queue.goes_before(&waiter, now);
-        let cause = match standing.decide(&forecast, is_queued) {
+        let (cause, failure) = match standing.decide(&forecast, is_queued) {
             Decision::Unknown => return Step::Poll,
             Decision::Wait(limit) => match self.enter(&mut state, waiter, limit, &forecast, now) {
                 Some(step) => return step,
-                None => Cause::QueueFull,
+                None => (Cause::QueueFull, Failure::Overloaded),
             },
-            Decision::Refuse(cause) => cause,
+            Decision::Refuse(cause) => {
+                let unlimited = Standing { time_left: call.deadline().remaining(now), ..standing };
+                let is_due_to_stop =
+                    !matches!(unlimited.decide(&forecast, is_queued), Decision::Refuse(_));
+                (cause, if is_due_to_stop { Failure::Stopping } else { Failure::Overloaded })
+            }
         };
         drop(state);
         self.give_up_place();
         record::refused_by_forecast(&self.head.request_id, cause, &forecast, &standing);
-        Step::Refuse
+        Step::Refuse(failure)
     }
 
     /// Gives the request a place in the queue if it has none. Returns `None` if there is no place.
@@ -287,8 +294,10 @@
     fn is_servable(&self, choice: &Choice, service: &Service, call: &Call<Unsent>) -> bool {
         let now = self.gateway.clock.now();
         let profile = self.forecast_profile();
-        let forecast = self.gateway.state().pool.forecast_choice(choice, service, &profile, now);
-        let time_left = call.deadline().remaining(now);
+        let state = self.gateway.state();
+        let forecast = state.pool.forecast_choice(choice, service, &profile, now);
+        let time_left = time_left(&state, call, now);
+        drop(state);
         let servable = forecast.admits_send(time_left);
         if !servable {
             record::send_withheld(&self.head.request_id, choice, &forecast, time_left);
@@ -307,7 +316,7 @@
         let standing = Standing {
             objective: self.profile.objective,
             elapsed: now.saturating_duration_since(self.received_at),
-            time_left: call.deadline().remaining(now),
+            time_left: time_left(state, call, now),
             returned: self.profile.overdue,
             latency_sensitive: self.profile.is_latency_sensitive(),
         };
@@ -347,3 +356,10 @@
         }
     }
 }
+
+/// Returns the time that a call has at `now` until its deadline, or until the stop of this entry ends
+/// it.
+fn time_left(state: &GatewayState, call: &Call<Unsent>, now: Instant) -> Duration {
+    let remaining = call.deadline().remaining(now);
+    state.stop.map_or(remaining, |stop| remaining.min(stop.remaining(now)))
+}
--- a/gateway/src/shortage.rs
+++ b/gateway/src/shortage.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Wakes the tasks of all requests, since something has changed for each of them.
+    pub(crate) fn wake_all(&self) {
+        self.wakers.values().for_each(|waker| waker.notify_one());
+    }
+
     fn record_length(&self) {
         metrics::gauge!("fulmarhead_waiting_requests").set(self.queue.len() as f64);
     }
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -42,6 +42,11 @@
         Self::abort_delay(grace).saturating_sub(END_MARGIN)
     }
 
+    /// Returns the time that requests in progress have at `now` until they are ended.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.ends_at.saturating_duration_since(now)
+    }
+
     /// Returns whether a request that has arrived completely at `now` is taken.
     ///
     /// One that is certain to end before it would be ended always is. Of the others, those that may be
