gateway: serve connections that come late in a stop

From 2.6 s after SIGTERM a gateway accepted no connections, but its listener stayed open while requests were in progress, and the kernel went on to accept them. A caller that came then sent its request, waited for up to 5 s, and saw the connection end with the process; nothing told it that the request had not run. The load balancer sends no connections by then, unless it has no other entry or learns late that this one is not ready.

The listener is now served until the open connections have finished. A request that arrives late is taken if it can end in time and refused as not run otherwise, like one on an older connection. A late connection without a request is closed after 200 ms, so that it does not keep the process running.

request_on_late_connection waited until the end of the process without this; the response now comes at once.

--- a/gateway/src/serve/listener.rs
+++ b/gateway/src/serve/listener.rs
@@ -10,14 +10,21 @@
 use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
-use std::sync::Arc;
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 /// Maximum number of open connections from callers. Each request needs one more file descriptor,
 /// and the process has at least 4,000.
 const MAX_CONNECTIONS: usize = 1_500;
 
+/// Time after which a connection that was accepted late in the stop is closed unless a request has
+/// begun, several round trips.
+const LATE_IDLE_TIME: Duration = Duration::from_millis(200);
+
 /// Smallest read buffer for request headers that hyper accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 
@@ -50,9 +57,38 @@
             let gateway = Arc::clone(&gateway);
             self.connections.spawn(permit, |stop| serve_connection(gateway, stream, stop));
         }
-        self.connections.finish().await;
+        tokio::select! {
+            () = connections.finish() => {}
+            () = self.accept_late(&gateway) => {}
+        }
         Ok(())
     }
+
+    /// Accepts connections while the open ones finish. The kernel would accept them all the same, and
+    /// their callers would wait for the end of the process.
+    async fn accept_late(&self, gateway: &Arc<Gateway>) {
+        let never = CancellationToken::new();
+        while let Some((permit, stream)) =
+            accept_caller(&self.connections, &self.listener, &gateway.bodies, &never).await
+        {
+            let gateway = Arc::clone(gateway);
+            self.connections.spawn(permit, |_| serve_late(gateway, stream));
+        }
+    }
+}
+
+/// Serves a connection that was accepted late in the stop. It closes if no request comes soon, and
+/// else with the response.
+async fn serve_late(gateway: Arc<Gateway>, stream: TcpStream) {
+    let stop = CancellationToken::new();
+    let _timer = AbortOnDropHandle::new(tokio::spawn({
+        let stop = stop.clone();
+        async move {
+            sleep(LATE_IDLE_TIME).await;
+            stop.cancel();
+        }
+    }));
+    serve_connection(gateway, stream, stop).await;
 }
 
 async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, stop: CancellationToken) {
