lib, gateway: end requests before the kill also if the grace period is short

A gateway accepted new connections for 2.6 s after SIGTERM whatever its grace period was, and ended the requests in progress after that.

The time for new connections is now at most 0.4 of the grace period, and that between the end of requests and the abort of connections at most 0.1 of it. All times come from one schedule; those for 8 s are the same as before.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -289,8 +289,7 @@
 
     /// Records that the process is stopping; responses then close their connections, and requests that
     /// might not end in time are refused.
-    pub(crate) fn begin_stop(&self) {
-        let schedule = StopSchedule::new(self.clock.now(), self.settings.termination_grace);
+    pub(crate) fn begin_stop(&self, schedule: StopSchedule) {
         let mut state = self.state();
         state.stop = Some(schedule);
         // Those that can't be served before the end are refused now.
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -10,10 +10,7 @@
     store::{StorePart, watch_store},
 };
 use axum::{Router, http::StatusCode, routing::get};
-use fulmarhead_lib::{
-    clock::SharedClock,
-    forward::{DEREGISTRATION_DELAY, StopSchedule},
-};
+use fulmarhead_lib::{clock::SharedClock, forward::StopSchedule};
 use fulmarhead_platform::{NodeSettings, READINESS_PATH};
 use fulmarhead_runtime::{
     http::{Server, ServerSettings, bind_callers},
@@ -113,10 +110,11 @@
         }
         () = shutdown.cancelled() => starting.drain(),
     };
-    gateway.begin_stop();
-    sleep(DEREGISTRATION_DELAY).await;
+    let schedule = StopSchedule::new(gateway.clock.now(), gateway.settings.termination_grace);
+    gateway.begin_stop(schedule);
+    sleep(schedule.until_deregistered(gateway.clock.now())).await;
     draining.stop(stop);
-    sleep(StopSchedule::end_delay(gateway.settings.termination_grace)).await;
+    sleep(schedule.remaining(gateway.clock.now())).await;
     gateway.end_requests();
     pending().await
 }
--- a/lib/src/forward/mod.rs
+++ b/lib/src/forward/mod.rs
@@ -15,5 +15,5 @@
     events::{EventError, EventRun, Pushed, Silent, StreamPosition, Writing},
     failure::{Failure, FailureOutcome},
     progress::Progress,
-    stop::{DEREGISTRATION_DELAY, StopSchedule},
+    stop::StopSchedule,
 };
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -5,7 +5,10 @@
 
 /// Time after the begin of the stop during which new connections are still accepted: the load
 /// balancer probes once a second, and stops sending connections after two failed probes.
-pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
+const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
+
+/// Largest share of the grace period that this time takes, so that requests can end after it.
+const MAX_DEREGISTRATION_SHARE: f64 = 0.4;
 
 /// Time after the begin of the stop at which connections are aborted, as a share of the grace period
 /// after which the process is killed.
@@ -15,6 +18,9 @@
 /// callers.
 const END_MARGIN: Duration = Duration::from_millis(250);
 
+/// Largest share of the grace period that this time takes.
+const MAX_END_MARGIN_SHARE: f64 = 0.1;
+
 /// Times of the stop of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
@@ -27,19 +33,25 @@
     /// `grace`.
     pub fn new(now: Instant, grace: Duration) -> Self {
         Self {
-            deregistered_at: now + DEREGISTRATION_DELAY,
-            ends_at: now + DEREGISTRATION_DELAY + Self::end_delay(grace),
+            deregistered_at: now + deregistration_delay(grace),
+            ends_at: now + deregistration_delay(grace) + end_delay(grace),
         }
     }
 
-    /// Returns the time after [`DEREGISTRATION_DELAY`] until connections are aborted.
+    /// Returns the schedule of a stop that begins at `now` because the process has failed. New
+    /// connections are not accepted, so that all else is earlier by the time for them.
+    pub fn of_failure(now: Instant, grace: Duration) -> Self {
+        Self { deregistered_at: now, ends_at: now + end_delay(grace) }
+    }
+
+    /// Returns the time between the end of [`Self::until_deregistered`] and the abort of connections.
     pub fn abort_delay(grace: Duration) -> Duration {
-        grace.mul_f64(ABORT_TIME_SHARE).saturating_sub(DEREGISTRATION_DELAY)
+        grace.mul_f64(ABORT_TIME_SHARE).saturating_sub(deregistration_delay(grace))
     }
 
-    /// Returns the time after [`DEREGISTRATION_DELAY`] until requests in progress are ended.
-    pub fn end_delay(grace: Duration) -> Duration {
-        Self::abort_delay(grace).saturating_sub(END_MARGIN)
+    /// Returns the time from `now` on during which the load balancer may send connections.
+    pub fn until_deregistered(&self, now: Instant) -> Duration {
+        self.deregistered_at.saturating_duration_since(now)
     }
 
     /// Returns the time that requests in progress have at `now` until they are ended.
@@ -57,3 +69,13 @@
             || (retry_policy.allows_retry() && now < self.deregistered_at)
     }
 }
+
+fn deregistration_delay(grace: Duration) -> Duration {
+    DEREGISTRATION_DELAY.min(grace.mul_f64(MAX_DEREGISTRATION_SHARE))
+}
+
+/// Returns the time between the end of the deregistration and the end of requests in progress.
+fn end_delay(grace: Duration) -> Duration {
+    let margin = END_MARGIN.min(grace.mul_f64(MAX_END_MARGIN_SHARE));
+    StopSchedule::abort_delay(grace).saturating_sub(margin)
+}
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -89,6 +89,18 @@
     assert_eq!(response_head.verdict(), expected);
 }
 
+/// Checks that a process with a grace time of `grace_ms` milliseconds ends requests, and aborts their
+/// connections after that, before it is killed. It has to accept connections for some time before.
+fn check_times(grace_ms: u64) {
+    let clock = ManualClock::default();
+    let (now, grace) = (clock.now(), Duration::from_millis(grace_ms));
+    let schedule = StopSchedule::new(now, grace);
+    let deregistered = schedule.until_deregistered(now);
+    let aborted = deregistered + StopSchedule::abort_delay(grace);
+    let times = [Duration::ZERO, deregistered, schedule.remaining(now), aborted, grace];
+    assert!(times.is_sorted_by(|a, b| a < b), "{times:?}");
+}
+
 /// Checks whether an entry with a grace time of 8 s takes a request with a time limit of `limit`
 /// milliseconds that arrives `at` milliseconds after the begin of its stop.
 fn check_admitted(retry_policy: RetryPolicy, limit: u64, at: u64, expected: bool) {
@@ -100,6 +112,15 @@
 }
 
 cases! {
+    check_times {
+        /// Guards against requests that get no answer because a short grace time is over before
+        /// the time for new connections.
+        grace_of_one_second: (1_000),
+        grace_of_two_seconds: (2_000),
+        grace_of_eight_seconds: (8_000),
+        grace_of_thirty_seconds: (30_000),
+    }
+
     check_admitted {
         order_at_the_begin: (RetryPolicy::Never, 1_500, 0, true),
         order_that_ends_in_time: (RetryPolicy::Never, 600, 6_800, true),
