runtime: don't wait for a child that has ended when a supervisor fails

A supervisor whose children exceed the restart limit stops them in reverse order, and waited a whole stop timeout for the one that had ended and was not started again.

--- a/runtime/src/supervisor/tree.rs
+++ b/runtime/src/supervisor/tree.rs
@@ -129,12 +129,12 @@
             let Some(Ok((index, result))) = ended else { continue };
             self.log_exit(index, &result);
             if let Err(error) = self.count_restart(&mut restarts) {
-                self.stop(tasks).await;
+                self.stop(tasks, Some(index)).await;
                 return Err(error);
             }
             self.spawn(&mut tasks, index);
         }
-        self.stop(tasks).await;
+        self.stop(tasks, None).await;
         Ok(())
     }
 
@@ -169,8 +169,10 @@
         })
     }
 
-    async fn stop(&self, mut tasks: JoinSet<(usize, TaskResult)>) {
-        let mut running: Vec<bool> = vec![true; self.children.len()];
+    /// Stops the children in reverse order. `ended` is one that has ended and was not restarted.
+    async fn stop(&self, mut tasks: JoinSet<(usize, TaskResult)>, ended: Option<usize>) {
+        let mut running: Vec<bool> =
+            (0..self.children.len()).map(|index| Some(index) != ended).collect();
         for index in (0..self.children.len()).rev() {
             self.children[index].stop.cancel();
             let ended =
