gateway: stop in order when the supervisor tree fails

When the children of a gateway exceed the restart limit, the tree stopped them without the life cycle of the process. Requests were not ended with a response, readiness stayed 200, and connections that came meanwhile were served as usual, so that their requests reached targets and were cut by the end of the process. It is the cause of the answers lost at SIGTERM, by another way.

The supervisor now tells of its failure before it stops the children, and the life cycle begins a stop without the time for new connections.

--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -84,33 +84,45 @@
     let (gateway, receivers) = Gateway::new(settings, clock);
     let process = Process::new(readiness.clone());
     let supervisor = supervisor(&gateway, receivers, listeners, readiness, metrics);
-    let stop = CancellationToken::new();
+    let (stop, failing) = (CancellationToken::new(), supervisor.failing());
     tokio::select! {
         result = supervisor.run(stop.clone()) => result,
-        never = run_lifecycle(&gateway, process, shutdown, &stop) => never,
+        never = run_lifecycle(&gateway, process, shutdown, failing, &stop) => never,
     }
 }
 
 /// Moves the process through the states of its life cycle. Does not return; the end of the
-/// supervisor tree ends the process.
+/// supervisor tree ends the process. `failing` says that the tree stops by itself.
 async fn run_lifecycle(
     gateway: &Gateway,
     starting: Process<Starting>,
     shutdown: CancellationToken,
+    failing: CancellationToken,
     stop: &CancellationToken,
 ) -> TaskResult {
+    let stopping = async {
+        tokio::select! {
+            () = shutdown.cancelled() => {}
+            () = failing.cancelled() => {}
+        }
+    };
+    tokio::pin!(stopping);
     let draining = tokio::select! {
         () = gateway.wait_configured() => {
             let serving = starting.serve();
             tokio::select! {
-                () = shutdown.cancelled() => {}
+                () = &mut stopping => {}
                 () = update_readiness(gateway, &serving) => {}
             }
             serving.drain()
         }
-        () = shutdown.cancelled() => starting.drain(),
+        () = &mut stopping => starting.drain(),
+    };
+    let (now, grace) = (gateway.clock.now(), gateway.settings.termination_grace);
+    let schedule = match failing.is_cancelled() {
+        true => StopSchedule::of_failure(now, grace),
+        false => StopSchedule::new(now, grace),
     };
-    let schedule = StopSchedule::new(gateway.clock.now(), gateway.settings.termination_grace);
     gateway.begin_stop(schedule);
     sleep(schedule.until_deregistered(gateway.clock.now())).await;
     draining.stop(stop);
--- a/runtime/src/supervisor/tree.rs
+++ b/runtime/src/supervisor/tree.rs
@@ -68,6 +68,7 @@
     clock: SharedClock,
     limit: RestartLimit,
     stop_timeout: Duration,
+    failing: CancellationToken,
     children: Vec<Child>,
 }
 
@@ -80,6 +81,7 @@
             clock,
             limit: RestartLimit::default(),
             stop_timeout: Duration::from_secs(30),
+            failing: CancellationToken::new(),
             children: Vec::new(),
         }
     }
@@ -98,6 +100,12 @@
         self
     }
 
+    /// Returns a token that is cancelled before the children are stopped because they exceeded the
+    /// restart limit.
+    pub fn failing(&self) -> CancellationToken {
+        self.failing.clone()
+    }
+
     /// Adds a child that is restarted whenever it ends before shutdown.
     ///
     /// `start` receives a token that is cancelled when the child has to stop.
@@ -129,6 +137,8 @@
             let Some(Ok((index, result))) = ended else { continue };
             self.log_exit(index, &result);
             if let Err(error) = self.count_restart(&mut restarts) {
+                error!(supervisor = self.name, error:%; "too many children have ended; stopping all of them");
+                self.failing.cancel();
                 self.stop(tasks, Some(index)).await;
                 return Err(error);
             }
--- a/runtime/tests/supervisor.rs
+++ b/runtime/tests/supervisor.rs
@@ -4,7 +4,13 @@
     clock::SystemClock,
     supervisor::{RestartLimit, Supervisor, TaskError},
 };
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -31,3 +37,25 @@
     assert!(matches!(result, Err(TaskError::RestartLimit { .. })), "{result:?}");
     assert!(begun.elapsed() < STOP_TIMEOUT, "took {:?}", begun.elapsed());
 }
+
+/// Guards against requests that are cut without a response because nobody is told that the tree
+/// fails.
+#[tokio::test]
+async fn failure_is_known_before_children_stop() {
+    let was_known = Arc::new(AtomicBool::new(false));
+    let supervisor = supervisor();
+    let (failing, known) = (supervisor.failing(), Arc::clone(&was_known));
+    let supervisor = supervisor
+        .permanent("sound", move |stop| {
+            let (failing, known) = (failing.clone(), Arc::clone(&known));
+            async move {
+                stop.cancelled().await;
+                known.store(failing.is_cancelled(), Ordering::SeqCst);
+                Ok(())
+            }
+        })
+        .permanent("faulty", |_| async { Ok(()) });
+    let result = supervisor.run(CancellationToken::new()).await;
+    assert!(matches!(result, Err(TaskError::RestartLimit { .. })), "{result:?}");
+    assert!(was_known.load(Ordering::SeqCst));
+}
