gateway: spread the returns of callers that a stopping entry refuses

A stop now refuses at once all requests that wait for capacity and can't be served before it ends them. All of their callers were asked back after 20 ms and would arrive at the other entries together. The delay is now drawn from 20 ms to 100 ms.

--- a/gateway/src/serve/refusal.rs
+++ b/gateway/src/serve/refusal.rs
@@ -13,9 +13,9 @@
 /// have completed by then.
 pub(super) const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Delay after which a caller that is refused by a stopping entry may retry. The load balancer has
-/// other entries for it.
-const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Range of the delay, in ms, after which a caller that is refused by a stopping entry may retry. The
+/// load balancer has other entries for it, and the callers of a whole queue are refused at once.
+const STOPPING_RETRY_MS: Range<u64> = 20..100;
 
 /// Range, as a share of the route's timeout, of the retry delay of a caller that is refused because
 /// its response would be late. A retry can't be on time either, and the load may have passed by
@@ -42,7 +42,7 @@
         Failure::Overloaded | Failure::Rejected if late => {
             route_timeout.mul_f64(rand::rng().random_range(LATE_RETRY_SHARE))
         }
-        Failure::Stopping => STOPPING_RETRY_DELAY,
+        Failure::Stopping => Duration::from_millis(rand::rng().random_range(STOPPING_RETRY_MS)),
         _ => DEFAULT_RETRY_DELAY,
     }
 }
