lib, platform, gateway: log and count the limits that targets name

The header is decoded from responses of the target itself; an invalid value is counted, logged once and says nothing. Each entry records the limit of a run of a target and logs when it is first named, changed or no longer named, with the time since the request was sent. The state dump lists the limits. A response to a request that was sent before the last change counts only if it lowers the limit. No decision uses the limits yet.

--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -18,6 +18,8 @@
         let is_relay = self.roster().is_relay();
         let state = self.state();
         let pool = state.pool.summary();
+        let limits = pool.request_limits.iter().map(|(target, rate)| (target, rate.per_second()));
+        let limits: BTreeMap<_, _> = limits.collect();
         let quarantine = state.quarantine.summary();
         let encode =
             |sets: &BTreeSet<PartSet>| -> Vec<String> { sets.iter().map(parts_text).collect() };
@@ -31,6 +33,7 @@
             "list_revision": state.target_list.revision(),
             "targets": pool.targets,
             "zones_out": pool.excluded_zones,
+            "limited_targets": limits,
             "reporting_peers": pool.reports,
             "quarantined_parts": encode(&quarantine.held),
             "parts_on_trial": encode(&quarantine.on_trial),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod dump;
 mod gateway;
 mod leases;
+mod limits;
 mod loads;
 mod options;
 mod peers;
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -258,6 +258,7 @@
     let (parts, body) = open_response.response.into_parts();
     let head = decode_response_head(parts.status, &parts.headers, &context.head.request_id);
     context.gateway.record_notice(&choice, head.notice);
+    context.gateway.record_rate(&choice, head.rate_notice, work.started_at);
     context.gateway.record_observed_load(&choice, head.observed_load);
     let verdict = head.verdict();
     if verdict == Verdict::Answer {
--- a/lib/src/forward/answer.rs
+++ b/lib/src/forward/answer.rs
@@ -1,6 +1,6 @@
 //! Classification of a target's response by its status and headers.
 
-use crate::placement::{Notice, ObservedLoad};
+use crate::placement::{Notice, ObservedLoad, RateNotice};
 use std::net::SocketAddr;
 use strum::{Display, IntoStaticStr};
 
@@ -37,6 +37,8 @@
     pub delimited: bool,
     /// What the response says about further requests to its target.
     pub notice: Notice,
+    /// What the response says about the request rate that its target accepts.
+    pub rate_notice: RateNotice,
     /// Load that the target reports about itself.
     pub observed_load: Option<ObservedLoad>,
 }
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -3,6 +3,7 @@
 
 mod body_memory;
 mod prefill;
+mod request_rate;
 mod retry;
 mod shared_retry;
 mod start;
@@ -14,6 +15,7 @@
         connection_limit,
     },
     prefill::{PrefillLimiter, usable_rate},
+    request_rate::{RequestRate, RequestRateError},
     retry::{RetryBudget, RetrySettings},
     shared_retry::{SharedRetryBudget, SharedRetrySettings},
     start::{StartBound, StartWindow},
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod pool;
 mod reports;
+mod request_limits;
 mod room;
 mod selection;
 mod spread;
@@ -32,4 +33,5 @@
     pace::StreamMeter,
     pool::{Pool, PoolSummary},
     reports::{ConnectionId, ReportSource},
+    request_limits::{LimitChange, RateNotice},
 };
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,13 +1,14 @@
 //! State of the targets of all services.
 
 use super::{
-    AttemptResult, Choice, ConnectionId, LoadDelta, Member, MemberState, Notice, NoticeEffect,
-    ReportSource, TargetLoad, Work, WorkId, demand::RecentSends, forecast::RecentWork,
-    notices::Notices, outages::Outages, reports::Reports, target::Target,
+    AttemptResult, Choice, ConnectionId, LimitChange, LoadDelta, Member, MemberState, Notice,
+    NoticeEffect, RateNotice, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
+    forecast::RecentWork, notices::Notices, outages::Outages, reports::Reports,
+    request_limits::RequestLimits, target::Target,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
-    limits::StartBound,
+    limits::{RequestRate, StartBound},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,6 +24,7 @@
     pub(super) reports: Reports,
     pub(super) excluded_zones: BTreeSet<ZoneId>,
     pub(super) notices: Notices,
+    pub(super) request_limits: RequestLimits,
     pub(super) outages: Outages,
     pub(super) recent_work: RecentWork,
     /// Time of the first selection since the loads of the other entries are not known.
@@ -38,6 +40,8 @@
     pub targets: BTreeMap<ServiceId, usize>,
     /// Zones whose targets get no requests.
     pub excluded_zones: BTreeSet<ZoneId>,
+    /// Targets that name a limit on their requests, each with its limit.
+    pub request_limits: BTreeMap<TargetId, RequestRate>,
     /// Number of entries whose reports of loads count.
     pub reports: usize,
 }
@@ -53,6 +57,7 @@
             reports: Reports::default(),
             excluded_zones: BTreeSet::new(),
             notices: Notices::default(),
+            request_limits: RequestLimits::default(),
             outages: Outages::default(),
             recent_work: RecentWork::default(),
             unknown_since: None,
@@ -147,6 +152,24 @@
         self.notices.record(&choice.target, choice.started_at, notice, now)
     }
 
+    /// Records what a response of the target of `choice` says about the request rate that it accepts,
+    /// and returns the change if it says something new. The request was sent at `sent_at`.
+    pub fn record_rate(
+        &mut self,
+        choice: &Choice,
+        notice: RateNotice,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let run = (choice.target.clone(), choice.started_at);
+        self.request_limits.record(run, notice, sent_at, now)
+    }
+
+    /// Returns the number of targets that limit their requests.
+    pub fn limited_count(&self) -> usize {
+        self.request_limits.named().count()
+    }
+
     /// Returns whether the target of `choice` wants requests at `now`, which may have changed since
     /// it was selected.
     pub fn wants_requests(&self, choice: &Choice, now: Instant) -> bool {
@@ -242,6 +265,7 @@
         PoolSummary {
             targets,
             excluded_zones: self.excluded_zones.clone(),
+            request_limits: self.request_limits.named().collect(),
             reports: self.reports.source_count(),
         }
     }
--- a/lib/tests/forward.rs
+++ b/lib/tests/forward.rs
@@ -5,7 +5,7 @@
     forward::{
         Call, Failure, FailureOutcome, RequestMatch, ResponseHead, StopSchedule, Unsent, Verdict,
     },
-    placement::Notice,
+    placement::{Notice, RateNotice},
     request::Deadline,
     routes::RetryPolicy,
 };
@@ -81,6 +81,7 @@
         event_stream: false,
         delimited: true,
         notice: Notice::default(),
+        rate_notice: RateNotice::Absent,
         observed_load: None,
     }
 }
--- a/lib/tests/placement/main.rs
+++ b/lib/tests/placement/main.rs
@@ -10,4 +10,5 @@
 mod pace;
 mod peers;
 mod recovery;
+mod request_limits;
 mod room;
