lib, platform, gateway: keep to the limits of targets over all entries

Callers saw no error.

Cause: no decision used the limit that a target names (hypothesis 1). If each entry used all of the limit (hypothesis 2, trial in the model), four would send 24 in 4 s at 1.5 a second, and 300 at 20 (125 allowed).

Change: entries tell each other limits as numbered changes; the last one counts, of two with the same number the lower. An answer without the header ends the limit, unless its request was sent before the last change. min(entries, 3 + limit) entries, by hashes of target and address, send with equal shares of 0.9 of the limit; each saves up one request, or those of 0.25 s, and begins with none, less what it sent in the last second. So at most 3.6 times the limit plus one for each of them are sent in 4 s, which is less than 6 times plus 5. The other entries send one request in turns of 0.4 s while nobody sends for 10 s, so that a target whose senders have no requests is not out of use. If all targets have none left for over 0.25 s, the request is refused at once.

--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -18,7 +18,9 @@
         let is_relay = self.roster().is_relay();
         let state = self.state();
         let pool = state.pool.summary();
-        let limits = pool.request_limits.iter().map(|(target, rate)| (target, rate.per_second()));
+        let limits = pool.request_limits.iter().map(|(target, limit)| {
+            (target, json!({"per_second": limit.rate.per_second(), "own_share": limit.share}))
+        });
         let limits: BTreeMap<_, _> = limits.collect();
         let quarantine = state.quarantine.summary();
         let encode =
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -141,6 +141,7 @@
             quarantine_updates: watch::Sender::new(0),
             state: Mutex::new(state),
         };
+        gateway.divide_limits();
         (Arc::new(gateway), Receivers { leases, losses })
     }
 
--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -8,7 +8,7 @@
 use fulmarhead_lib::{
     ids::{Revision, TargetId},
     membership::{EntryInfo, Link},
-    placement::{ConnectionId, LoadDelta, ReportSource, TargetLoad},
+    placement::{ConnectionId, LimitNews, LimitVersion, LoadDelta, ReportSource, TargetLoad},
     quarantine::{News, Version},
     replica::Delta,
 };
@@ -34,6 +34,8 @@
     sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
     /// Version of the quarantine that was sent to the peer.
     sent_version: Version,
+    /// Version of the limits of targets that was sent to the peer.
+    sent_limits: LimitVersion,
     /// Digest of the entries that the peer knew at its last response.
     peer_roster: Option<u64>,
     /// Parts to request from the peer, with the revisions of the local replicas.
@@ -51,6 +53,7 @@
             connection,
             sent_loads: None,
             sent_version: 0,
+            sent_limits: 0,
             peer_roster: None,
             wanted_parts: BTreeMap::new(),
             parts_to_send: BTreeMap::new(),
@@ -74,12 +77,14 @@
     sent_loads: Option<BTreeMap<TargetId, TargetLoad>>,
     /// Version of the quarantine that was sent to the peer.
     sent_version: Version,
+    /// Version of the limits of targets that was sent to the peer.
+    sent_limits: LimitVersion,
 }
 
 impl CallerSession {
     /// Returns the state of a new connection.
     pub(super) fn new(connection: ConnectionId) -> Self {
-        Self { connection, source: None, sent_loads: None, sent_version: 0 }
+        Self { connection, source: None, sent_loads: None, sent_version: 0, sent_limits: 0 }
     }
 }
 
@@ -99,6 +104,7 @@
         let revisions = revisions.collect();
         let deltas = build_deltas(&mut state, take(&mut session.parts_to_send));
         let quarantine = quarantine_news(&state, &mut session.sent_version, now);
+        let limits = limit_news(&state, &mut session.sent_limits, now);
         drop(state);
         let roster = self.roster();
         let peer_differs = session.peer_roster.is_some_and(|digest| digest != roster.digest());
@@ -115,6 +121,7 @@
             wanted: take(&mut session.wanted_parts),
             deltas,
             quarantine,
+            limits,
         }
     }
 
@@ -137,8 +144,10 @@
         };
         let loads = self.exchange_loads(request.loads, session);
         self.merge_news(request.quarantine);
-        let quarantine =
-            quarantine_news(&self.state(), &mut session.sent_version, self.clock.now());
+        self.merge_limits(request.limits);
+        let now = self.clock.now();
+        let quarantine = quarantine_news(&self.state(), &mut session.sent_version, now);
+        let limits = limit_news(&self.state(), &mut session.sent_limits, now);
         if request.urgent && request.link == Link::Relay {
             self.notify_peers();
         }
@@ -157,6 +166,7 @@
             wanted,
             deltas,
             quarantine,
+            limits,
         }
     }
 
@@ -199,6 +209,7 @@
         self.roster().record_response(address, now);
         session.peer_roster = Some(response.roster);
         self.merge_news(response.quarantine);
+        self.merge_limits(response.limits);
         self.merge_deltas(response.deltas);
         let mut state = self.state();
         if let Some(delta) = &response.loads {
@@ -258,9 +269,13 @@
     }
 
     fn add_entries(&self, entries: BTreeMap<SocketAddr, EntryInfo>) {
-        for address in self.roster().merge(entries) {
+        let discovered = self.roster().merge(entries);
+        for address in &discovered {
             info!(target: "decision", address:%; "discovered an entry");
         }
+        if !discovered.is_empty() {
+            self.divide_limits();
+        }
     }
 
     fn merge_deltas(&self, deltas: BTreeMap<StorePart, Delta>) {
@@ -328,6 +343,18 @@
     news
 }
 
+/// Returns the changes of the limits of targets that the peer does not have, and records that they
+/// are sent.
+fn limit_news(
+    state: &GatewayState,
+    sent_limits: &mut LimitVersion,
+    now: Instant,
+) -> Vec<LimitNews> {
+    let (news, version) = state.pool.limits_since(*sent_limits, now);
+    *sent_limits = version;
+    news
+}
+
 /// Returns the changes of the `wanted` parts since the given revisions, without parts that have
 /// none.
 fn build_deltas(
--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -5,7 +5,7 @@
 use fulmarhead_lib::{
     ids::{EntryId, Revision},
     membership::{EntryInfo, Link},
-    placement::LoadDelta,
+    placement::{LimitNews, LoadDelta},
     quarantine::News,
     replica::Delta,
 };
@@ -41,6 +41,9 @@
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
     /// Changes of the requesting entry's quarantine since the last exchange on the connection.
     pub(crate) quarantine: News,
+    /// Changes of the limits of targets that the requesting entry knows, since the last exchange on
+    /// the connection.
+    pub(crate) limits: Vec<LimitNews>,
 }
 
 /// State of an entry's replica of one part of the store.
@@ -75,6 +78,9 @@
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
     /// Changes of the responding entry's quarantine since the last exchange on the connection.
     pub(crate) quarantine: News,
+    /// Changes of the limits of targets that the responding entry knows, since the last exchange on
+    /// the connection.
+    pub(crate) limits: Vec<LimitNews>,
 }
 
 /// Remote calls that each entry serves.
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -36,6 +36,9 @@
 
 fn apply_seeds(gateway: &Gateway, settings: &NodeSettings, signalled: bool) {
     let new_seeds = gateway.roster().add_addresses(&settings.seeds);
+    if !new_seeds.is_empty() {
+        gateway.divide_limits();
+    }
     if signalled || !new_seeds.is_empty() {
         info!(target: "decision", signalled, seeds:? = new_seeds; "reread the settings file");
     }
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -15,7 +15,7 @@
         connection_limit,
     },
     prefill::{PrefillLimiter, usable_rate},
-    request_rate::{RequestRate, RequestRateError},
+    request_rate::{RateBucket, RateShare, RequestRate, RequestRateError},
     retry::{RetryBudget, RetrySettings},
     shared_retry::{SharedRetryBudget, SharedRetrySettings},
     start::{StartBound, StartWindow},
--- a/lib/src/limits/start.rs
+++ b/lib/src/limits/start.rs
@@ -46,7 +46,11 @@
     ///
     /// One start a second is always allowed, even if `rate` is below 1.
     pub fn allows(&self, rate: f64, now: Instant) -> bool {
-        let recent = self.0.iter().filter(|&&at| now.saturating_duration_since(at) < WINDOW);
-        (recent.count() + 1) as f64 <= rate.max(1.0)
+        (self.count(now) + 1) as f64 <= rate.max(1.0)
+    }
+
+    /// Returns the number of starts in the last second before `now`.
+    pub fn count(&self, now: Instant) -> usize {
+        self.0.iter().filter(|&&at| now.saturating_duration_since(at) < WINDOW).count()
     }
 }
--- a/lib/src/membership/roster.rs
+++ b/lib/src/membership/roster.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -126,6 +126,11 @@
         self.entries.len()
     }
 
+    /// Returns the addresses of all known entries, including this one.
+    pub fn addresses(&self) -> BTreeSet<SocketAddr> {
+        self.entries.keys().copied().collect()
+    }
+
     /// Returns the entries whose properties are known.
     pub fn known_entries(&self) -> BTreeMap<SocketAddr, EntryInfo> {
         let known = self.entries.iter();
--- a/lib/src/placement/choice.rs
+++ b/lib/src/placement/choice.rs
@@ -18,8 +18,8 @@
     /// already tried, too few engines have enough memory, or a latency-sensitive request would miss
     /// its objective.
     Full,
-    /// All untried targets have asked for no requests; the first of them may get one after this
-    /// time.
+    /// All untried targets have asked for no requests or have none left of their limits; the first of
+    /// them may get one after this time.
     Paused(Duration),
 }
 
--- a/lib/src/placement/forecast.rs
+++ b/lib/src/placement/forecast.rs
@@ -132,14 +132,22 @@
         let usable = self.targets.iter().filter(|(id, target)| {
             target.member.service == service.id && self.accepts_requests(id, target, now)
         });
-        let loads: Vec<(TargetLoad, f64)> = usable
+        let (limited, unlimited): (Vec<_>, Vec<_>) = usable
             .map(|(id, target)| {
-                let pause = self.notices.pause(id, target.member.started_at, now);
-                (self.load(id, target, now), pause.map_or(0.0, millis))
+                let started_at = target.member.started_at;
+                let limit_wait = self.request_limits.wait(id, started_at, now);
+                let pause = self.notices.pause(id, started_at, now).max(limit_wait);
+                (limit_wait.is_some(), (self.load(id, target, now), pause.map_or(0.0, millis)))
             })
-            .collect();
+            .partition(|(is_limited, _)| *is_limited);
+        let without_mark = |marked: Vec<(bool, (TargetLoad, f64))>| -> Vec<(TargetLoad, f64)> {
+            marked.into_iter().map(|(_, load)| load).collect()
+        };
+        let (limited, unlimited) = (without_mark(limited), without_mark(unlimited));
+        let parts = part_limit(&unlimited, engine, profile);
+        // A limited target takes too few requests to count beside others.
+        let loads = if unlimited.is_empty() { limited } else { unlimited };
         let end_interval = self.end_interval(&loads, engine, profile);
-        let parts = part_limit(&loads, engine, profile);
         let prefill_ms = engine.prefill_ms(profile.prompt_tokens) / parts as f64;
         let tokens = profile.prompt_tokens + profile.output_tokens;
         if tokens > engine.kv_capacity {
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -33,5 +33,5 @@
     pace::StreamMeter,
     pool::{Pool, PoolSummary},
     reports::{ConnectionId, ReportSource},
-    request_limits::{LimitChange, RateNotice},
+    request_limits::{LimitChange, LimitNews, LimitSummary, LimitVersion, RateNotice},
 };
--- a/lib/src/placement/oversized.rs
+++ b/lib/src/placement/oversized.rs
@@ -28,7 +28,7 @@
 ) -> Option<Choice> {
     let count = candidates.len();
     let mut idle = candidates;
-    idle.retain(|candidate| candidate.available && candidate.load.is_idle());
+    idle.retain(|candidate| candidate.available && !candidate.limited && candidate.load.is_idle());
     let prefill_ms = engine.prefill_ms(profile.prompt_tokens);
     let max_part_ms = PREFILL_SHARE * profile.objective.as_secs_f64() * 1e3;
     let parts = ((prefill_ms / max_part_ms).ceil() as usize).clamp(2, MAX_HELPERS + 1);
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,14 +1,14 @@
 //! State of the targets of all services.
 
 use super::{
-    AttemptResult, Choice, ConnectionId, LimitChange, LoadDelta, Member, MemberState, Notice,
-    NoticeEffect, RateNotice, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
+    AttemptResult, Choice, ConnectionId, LimitSummary, LoadDelta, Member, MemberState, Notice,
+    NoticeEffect, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
     forecast::RecentWork, notices::Notices, outages::Outages, reports::Reports,
     request_limits::RequestLimits, target::Target,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
-    limits::{RequestRate, StartBound},
+    limits::StartBound,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -34,14 +34,14 @@
 }
 
 /// Summary of a pool for state dumps.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PoolSummary {
     /// Number of targets of each service.
     pub targets: BTreeMap<ServiceId, usize>,
     /// Zones whose targets get no requests.
     pub excluded_zones: BTreeSet<ZoneId>,
     /// Targets that name a limit on their requests, each with its limit.
-    pub request_limits: BTreeMap<TargetId, RequestRate>,
+    pub request_limits: BTreeMap<TargetId, LimitSummary>,
     /// Number of entries whose reports of loads count.
     pub reports: usize,
 }
@@ -152,30 +152,13 @@
         self.notices.record(&choice.target, choice.started_at, notice, now)
     }
 
-    /// Records what a response of the target of `choice` says about the request rate that it accepts,
-    /// and returns the change if it says something new. The request was sent at `sent_at`.
-    pub fn record_rate(
-        &mut self,
-        choice: &Choice,
-        notice: RateNotice,
-        sent_at: Instant,
-        now: Instant,
-    ) -> Option<LimitChange> {
-        let run = (choice.target.clone(), choice.started_at);
-        self.request_limits.record(run, notice, sent_at, now)
-    }
-
-    /// Returns the number of targets that limit their requests.
-    pub fn limited_count(&self) -> usize {
-        self.request_limits.named().count()
-    }
-
-    /// Returns whether the target of `choice` wants requests at `now`, which may have changed since
-    /// it was selected.
+    /// Returns whether the target of `choice` wants requests of this entry at `now`, which may have
+    /// changed since it was selected.
     pub fn wants_requests(&self, choice: &Choice, now: Instant) -> bool {
         let Choice { target, started_at, .. } = choice;
         !self.notices.is_leaving(target, *started_at)
             && self.notices.pause(target, *started_at, now).is_none()
+            && self.request_limits.wait(target, *started_at, now).is_none_or(|it| it.is_zero())
     }
 
     /// Records that a request is sent to `target`; returns `None` if the pool has no such target.
@@ -185,6 +168,7 @@
         self.recent_work.record(&work);
         state.in_flight.insert(self.last_id, work);
         state.recent_starts.record(now);
+        self.request_limits.record_send(target, state.member.started_at, now);
         self.outages.record_send(&state.member.zone, now);
         if work.is_latency_sensitive() {
             let service = state.member.service.clone();
@@ -265,7 +249,7 @@
         PoolSummary {
             targets,
             excluded_zones: self.excluded_zones.clone(),
-            request_limits: self.request_limits.named().collect(),
+            request_limits: self.request_limits.summaries(),
             reports: self.reports.source_count(),
         }
     }
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -15,7 +15,7 @@
     ids::TargetId,
     routes::{EngineModel, Service},
 };
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Factor for the cost of a target in another zone, which prefers targets in the entry's own zone
 /// unless their cost is over 5 % higher. It outweighs the added round trip a little.
@@ -41,6 +41,10 @@
 /// Smallest factor of the weight of an engine, so that it stays in the draw and can recover.
 const MIN_WEIGHT: f64 = 0.05;
 
+/// Longest wait for a share of the limit of a target. A caller that would wait longer is refused, and
+/// may find a share at another entry.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(250);
+
 /// Changes the draw that selected the sample, so that the draw within the sample is independent.
 const SECOND_DRAW: u64 = 0x9e37_79b9;
 
@@ -56,7 +60,8 @@
     /// # Errors
     ///
     /// Returns [`PlacementError::NoTarget`] if no untried target is usable,
-    /// [`PlacementError::Paused`] if all of them want no requests for some time, or
+    /// [`PlacementError::Paused`] if all of them want no requests for some time or have none left of
+    /// their limits, or
     /// [`PlacementError::Full`] if no usable target can accept the request now or a
     /// latency-sensitive request that is not overdue would miss its objective.
     pub fn choose(
@@ -133,7 +138,7 @@
     }
 
     /// Returns the usable targets of `service`, in the order that all entries share,
-    /// except that the slow ones come last.
+    /// except that the slow and the limited ones come last.
     fn usable(
         &self,
         service: &Service,
@@ -148,14 +153,21 @@
             .map(|(id, target)| {
                 let in_backoff = backoff == Backoff::Respect && target.health.in_backoff(now);
                 let may_start = target.allows_start(service, &self.start_bound, entries, now);
-                let pause = self.notices.pause(id, target.member.started_at, now);
-                let available = !in_backoff && may_start && pause.is_none() && !tried.contains(id);
+                let started_at = target.member.started_at;
+                let limit_wait = self.request_limits.wait(id, started_at, now);
+                let pause = self.notices.pause(id, started_at, now);
+                let pause = pause.max(limit_wait.filter(|wait| *wait > MAX_LIMIT_WAIT));
+                let may_send = pause.is_none() && limit_wait.is_none_or(|wait| wait.is_zero());
+                let available = !in_backoff && may_start && may_send && !tried.contains(id);
                 let (load, slowness) = (self.load(id, target, now), target.slowness(now));
-                Candidate { id, target, load, available, pause, slowness }
+                let limited = limit_wait.is_some();
+                Candidate { id, target, load, available, limited, pause, slowness }
             })
             .collect();
         divide_by_median(&mut usable, now);
-        usable.sort_by_key(|candidate| (is_slow(candidate.slowness), candidate.target.order_key));
+        usable.sort_by_key(|candidate| {
+            (is_slow(candidate.slowness) || candidate.limited, candidate.target.order_key)
+        });
         self.skip_suspected_zones(&mut usable, now);
         usable
     }
@@ -203,7 +215,7 @@
             return choice;
         }
         let mut helpers = others;
-        helpers.retain(|(_, candidate)| !is_slow(candidate.slowness));
+        helpers.retain(|(_, candidate)| !is_slow(candidate.slowness) && !candidate.limited);
         // Entries with the same view of the loads select different helpers among those that are
         // about equally busy, and use the engines of latency-sensitive requests last.
         helpers.sort_by_cached_key(|(index, candidate)| {
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -94,9 +94,11 @@
     pub(super) target: &'a Target,
     pub(super) load: TargetLoad,
     /// Whether the target was not tried yet, is not skipped for its back-off or for the suspicion of
-    /// its zone, wants requests, and may get another one within its start rate.
+    /// its zone, wants requests, and may get another one within its start rate and its limit.
     pub(super) available: bool,
-    /// Time for which the target wants no requests.
+    /// Whether the target limits its requests, so that it does not help with other ones.
+    pub(super) limited: bool,
+    /// Time for which the target wants no requests, or has none left of its limit for long.
     pub(super) pause: Option<Duration>,
     /// Factor by which work takes longer at the target than the engine model says, at least 1.
     pub(super) slowness: f64,
--- a/lib/tests/placement/main.rs
+++ b/lib/tests/placement/main.rs
@@ -4,6 +4,8 @@
 mod choice;
 mod demand;
 mod fixture;
+mod limit_division;
+mod limit_fleet;
 mod notices;
 mod outages;
 mod oversized;
