--- a/lib/src/placement/forecast.rs
+++ b/lib/src/placement/forecast.rs
@@ -132,18 +132,14 @@
         let usable = self.targets.iter().filter(|(id, target)| {
             target.member.service == service.id && self.accepts_requests(id, target, now)
         });
-        let (limited, unlimited): (Vec<_>, Vec<_>) = usable
-            .map(|(id, target)| {
-                let started_at = target.member.started_at;
-                let limit_wait = self.request_limits.wait(id, started_at, now);
-                let pause = self.notices.pause(id, started_at, now).max(limit_wait);
-                (limit_wait.is_some(), (self.load(id, target, now), pause.map_or(0.0, millis)))
-            })
-            .partition(|(is_limited, _)| *is_limited);
-        let without_mark = |marked: Vec<(bool, (TargetLoad, f64))>| -> Vec<(TargetLoad, f64)> {
-            marked.into_iter().map(|(_, load)| load).collect()
-        };
-        let (limited, unlimited) = (without_mark(limited), without_mark(unlimited));
+        let (mut limited, mut unlimited) = (Vec::new(), Vec::new());
+        for (id, target) in usable {
+            let started_at = target.member.started_at;
+            let limit_wait = self.request_limits.wait(id, started_at, now);
+            let pause = self.notices.pause(id, started_at, now).max(limit_wait);
+            let loads = if limit_wait.is_some() { &mut limited } else { &mut unlimited };
+            loads.push((self.load(id, target, now), pause.map_or(0.0, millis)));
+        }
         let parts = part_limit(&unlimited, engine, profile);
         // A limited target takes too few requests to count beside others.
         let loads = if unlimited.is_empty() { limited } else { unlimited };
