lib, gateway: count only the limits of targets in the list

fulmarhead_limited_targets and the state dump showed a target that had ended, or had restarted without a limit, for up to an hour: limits outlive the list, and the gauge was set at changes of limits only. Found in a review; no decision was wrong, since a limit belongs to one run.

The summary leaves out runs that the list does not have, and the gauge is set with the reviews of loads. limit_of_target_that_has_ended_is_not_shown failed before (1 limited target, 0 expected).

--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -36,14 +36,16 @@
         }
     }
 
+    /// Updates the number of limited targets, which also changes with the list.
+    pub(crate) fn review_limits(&self) {
+        let limited = self.state().pool.limited_count();
+        metrics::gauge!("fulmarhead_limited_targets").set(limited as f64);
+    }
+
     /// Records a change of the limit of a target. `after_ms` is the time from the request to the
     /// response with the change, or `None` if a peer told of it.
     fn announce_limit(&self, backend: &str, change: LimitChange, after_ms: Option<u64>) {
-        let state = self.state();
-        let limited = state.pool.limited_count();
-        let summary = state.pool.summary().request_limits.get(backend).copied();
-        drop(state);
-        metrics::gauge!("fulmarhead_limited_targets").set(limited as f64);
+        let summary = self.state().pool.summary().request_limits.get(backend).copied();
         let kind = <&'static str>::from(change);
         let source = if after_ms.is_some() { "response" } else { "peer" };
         metrics::counter!("fulmarhead_target_limits_total", "change" => kind, "source" => source)
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -119,13 +119,14 @@
     pending().await
 }
 
-/// Keeps the readiness of the process equal to that of the gateway, and reviews its quarantine
-/// and loads.
+/// Keeps the readiness of the process equal to that of the gateway, and reviews its quarantine,
+/// loads and limits.
 async fn update_readiness(gateway: &Gateway, serving: &Process<Serving>) {
     loop {
         serving.set_ready(gateway.is_ready());
         gateway.review_quarantine();
         gateway.review_loads();
+        gateway.review_limits();
         sleep(READINESS_INTERVAL).await;
     }
 }
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -249,7 +249,7 @@
         PoolSummary {
             targets,
             excluded_zones: self.excluded_zones.clone(),
-            request_limits: self.request_limits.summaries(),
+            request_limits: self.limit_summaries(),
             reports: self.reports.source_count(),
         }
     }
--- a/lib/src/placement/request_limits/pool.rs
+++ b/lib/src/placement/request_limits/pool.rs
@@ -6,7 +6,11 @@
     limits::RequestRate,
     placement::{Choice, Pool},
 };
-use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Instant, SystemTime},
+};
 
 /// Limit of a target, for state dumps.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,7 +65,19 @@
 
     /// Returns the number of targets that limit their requests.
     pub fn limited_count(&self) -> usize {
-        self.request_limits.named_count()
+        self.limit_summaries().len()
+    }
+
+    /// Returns the targets that limit their requests. Limits of runs that are not in the list any more
+    /// are kept for a time, and are not among them.
+    pub(in crate::placement) fn limit_summaries(&self) -> BTreeMap<TargetId, LimitSummary> {
+        let is_present = |id: &str, started_at: Option<SystemTime>| {
+            let target = self.targets.get(id);
+            target.is_some_and(|target| target.member.started_at == started_at)
+        };
+        let summaries = self.request_limits.summaries();
+        let present = summaries.filter(|((id, started_at), _)| is_present(id, *started_at));
+        present.map(|((id, _), summary)| (id.clone(), summary)).collect()
     }
 
     /// Returns the number of requests that this entry sent to `target` in the last second.
--- a/lib/src/placement/request_limits/registry.rs
+++ b/lib/src/placement/request_limits/registry.rs
@@ -148,18 +148,10 @@
         }
     }
 
-    /// Returns the targets with a limit, each with the limit and what this entry uses of it.
-    pub(in crate::placement) fn summaries(&self) -> BTreeMap<TargetId, LimitSummary> {
+    /// Returns the runs of targets with a limit, each with the limit and what this entry uses of it.
+    pub(super) fn summaries(&self) -> impl Iterator<Item = (&Run, LimitSummary)> {
         let limits = self.named.iter();
-        let summaries = limits.map(|((target, _), limit)| {
-            (target.clone(), LimitSummary { rate: limit.rate(), share: limit.share() })
-        });
-        summaries.collect()
-    }
-
-    /// Returns the number of runs of targets with a limit.
-    pub(super) fn named_count(&self) -> usize {
-        self.named.len()
+        limits.map(|(run, limit)| (run, LimitSummary { rate: limit.rate(), share: limit.share() }))
     }
 
     fn rate(&self, run: &Run) -> Option<RequestRate> {
--- a/lib/tests/placement/request_limits.rs
+++ b/lib/tests/placement/request_limits.rs
@@ -6,11 +6,14 @@
 use fulmarhead_lib::{
     limits::RequestRate,
     placement::{
-        Backoff, Choice, Forecast, LimitChange, LimitNews, PlacementError, RateNotice,
+        Backoff, Choice, Forecast, LimitChange, LimitNews, Member, PlacementError, RateNotice,
         RequestProfile, TargetLoad,
     },
 };
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant, SystemTime},
+};
 use testutils::cases;
 
 const MS: Duration = Duration::from_millis(1);
@@ -237,3 +240,23 @@
         same_change: ((1, Some(1.5)), (1, Some(1.5)), Some(1.5)),
     }
 }
+
+/// Guards against limits of targets that have ended in the state dump and the metrics.
+#[test]
+fn limit_of_target_that_has_ended_is_not_shown() {
+    for list in [members(&[2]), restarted(1)] {
+        let (mut fixture, _) = limited_fixture(&[1], 1.5);
+        assert_eq!(fixture.pool.limited_count(), 1);
+        let now = fixture.now();
+        fixture.pool.update_members(list, Duration::ZERO, now);
+        assert_eq!(fixture.pool.limited_count(), 0);
+        assert!(fixture.pool.summary().request_limits.is_empty());
+    }
+}
+
+/// Returns a list with a new run of the target `number`.
+fn restarted(number: u8) -> BTreeMap<String, Member> {
+    let mut list = members(&[number]);
+    list.values_mut().for_each(|member| member.started_at = Some(SystemTime::UNIX_EPOCH));
+    list
+}
