--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -1,9 +1,10 @@
 //! State of the targets of all services.
 
 use super::{
-    AttemptResult, Choice, ConnectionId, LoadDelta, Member, MemberState, Notice, NoticeEffect,
-    ReportSource, TargetLoad, Work, WorkId, demand::RecentSends, forecast::RecentWork,
-    notices::Notices, outages::Outages, reports::Reports, target::Target,
+    AttemptResult, Choice, ConnectionId, LimitSummary, LoadDelta, Member, MemberState, Notice,
+    NoticeEffect, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
+    forecast::RecentWork, notices::Notices, outages::Outages, reports::Reports,
+    request_limits::RequestLimits, target::Target,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
@@ -23,6 +24,7 @@
     pub(super) reports: Reports,
     pub(super) excluded_zones: BTreeSet<ZoneId>,
     pub(super) notices: Notices,
+    pub(super) request_limits: RequestLimits,
     pub(super) outages: Outages,
     pub(super) recent_work: RecentWork,
     /// Time of the first selection since the loads of the other entries are not known.
@@ -32,12 +34,14 @@
 }
 
 /// Summary of a pool for state dumps.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PoolSummary {
     /// Number of targets of each service.
     pub targets: BTreeMap<ServiceId, usize>,
     /// Zones whose targets get no requests.
     pub excluded_zones: BTreeSet<ZoneId>,
+    /// Targets that name a limit on their requests, each with its limit.
+    pub request_limits: BTreeMap<TargetId, LimitSummary>,
     /// Number of entries whose reports of loads count.
     pub reports: usize,
 }
@@ -53,6 +57,7 @@
             reports: Reports::default(),
             excluded_zones: BTreeSet::new(),
             notices: Notices::default(),
+            request_limits: RequestLimits::default(),
             outages: Outages::default(),
             recent_work: RecentWork::default(),
             unknown_since: None,
@@ -147,12 +152,13 @@
         self.notices.record(&choice.target, choice.started_at, notice, now)
     }
 
-    /// Returns whether the target of `choice` wants requests at `now`, which may have changed since
-    /// it was selected.
+    /// Returns whether the target of `choice` wants requests of this entry at `now`, which may have
+    /// changed since it was selected.
     pub fn wants_requests(&self, choice: &Choice, now: Instant) -> bool {
         let Choice { target, started_at, .. } = choice;
         !self.notices.is_leaving(target, *started_at)
             && self.notices.pause(target, *started_at, now).is_none()
+            && self.request_limits.wait(target, *started_at, now).is_none_or(|it| it.is_zero())
     }
 
     /// Records that a request is sent to `target`; returns `None` if the pool has no such target.
@@ -162,6 +168,7 @@
         self.recent_work.record(&work);
         state.in_flight.insert(self.last_id, work);
         state.recent_starts.record(now);
+        self.request_limits.record_send(target, state.member.started_at, now);
         self.outages.record_send(&state.member.zone, now);
         if work.is_latency_sensitive() {
             let service = state.member.service.clone();
@@ -242,6 +249,7 @@
         PoolSummary {
             targets,
             excluded_zones: self.excluded_zones.clone(),
+            request_limits: self.limit_summaries(),
             reports: self.reports.source_count(),
         }
     }
