gateway: hold partial events within the memory for bodies

Cause: each stream kept up to 256 KiB until an event is complete, in a buffer that doubles, besides a read buffer of up to 64 KiB. Nothing bounded the sum.

Change: a stream has 4 KiB for a partial event of its own. What exceeds them is taken from the budget for bodies, and a stream that gets nothing is handled like one with an event that is too large: it goes on elsewhere where it may. Sound events have a few hundred bytes, so that sound streams never ask. The limits of a single event and head, 64 KiB and 16 KiB, follow from what targets send; the latter also bounds the read buffer of each connection.

--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -14,6 +14,7 @@
     quarantine::{AnswerStage, PartSet},
 };
 use fulmarhead_platform::caller_response_headers;
+use fulmarhead_runtime::http::EventMemory;
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
@@ -171,6 +172,7 @@
     mut run: EventRun<Silent>,
 ) -> Result<FirstRead, Failure> {
     let begun_at = context.gateway.clock.now();
+    let mut memory = EventMemory::new(&context.gateway.bodies);
     loop {
         let Some(bytes) = read_bytes(context, target_response, begun_at).await? else {
             let rest = run.end(target_response.head.delimited);
@@ -181,6 +183,9 @@
             Ok(Pushed::Writing(run, events)) => return Ok(FirstRead::Events(run, events)),
             Err(error) => return Err(reject(context, target_response, error)),
         };
+        if memory.hold(run.held_bytes()).is_err() {
+            return Err(reject(context, target_response, EventError::NoMemory));
+        }
     }
 }
 
@@ -195,6 +200,7 @@
     run: &mut EventRun<Writing>,
 ) -> Result<NextRead, Failure> {
     let begun_at = target_response.work.begin_wait();
+    let mut memory = EventMemory::new(&context.gateway.bodies);
     loop {
         // The events before the error have been passed on.
         if let Some(error) = run.error() {
@@ -207,6 +213,9 @@
         if !events.is_empty() {
             return Ok(NextRead::Events(events));
         }
+        if memory.hold(run.held_bytes()).is_err() {
+            return Err(reject(context, target_response, EventError::NoMemory));
+        }
     }
 }
 
--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -17,8 +17,9 @@
 /// accept queue is full answers only after one second.
 const CONNECT_TIME: Duration = Duration::from_millis(100);
 
-/// Maximum size of the head of a response, in bytes, and of the read buffer of a connection.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum size of the head of a response, in bytes, and of the read buffer of a connection. Targets
+/// send a few hundred bytes, and as many connections as there are callers may be open.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 
 /// The reason why a request has no response head.
 #[derive(Debug, thiserror::Error)]
--- a/lib/src/forward/blocks.rs
+++ b/lib/src/forward/blocks.rs
@@ -7,7 +7,7 @@
 
 /// Maximum size, in bytes, of an event with what precedes it since the event before, far above that
 /// of the tokens of one pass of an engine.
-pub const MAX_EVENT_BYTES: usize = 256 << 10;
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Fields that the format of server-sent events defines, besides `id` and `data`.
 const DEFINED_FIELDS: [&[u8]; 2] = [b"event", b"retry"];
@@ -42,6 +42,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Returns the memory that the bytes take, in bytes.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the identifier of the next event, or `None` until one is complete.
     ///
     /// # Errors
--- a/lib/src/forward/events.rs
+++ b/lib/src/forward/events.rs
@@ -22,6 +22,9 @@
     /// An event is larger than [`MAX_EVENT_BYTES`], or never ends.
     #[error("event is larger than {MAX_EVENT_BYTES} bytes")]
     TooLarge,
+    /// The process has no memory for an event that is not complete, and is larger than usual.
+    #[error("there is no memory for the event")]
+    NoMemory,
 }
 
 /// How the identifiers of a stream increase, as far as its events show.
@@ -181,6 +184,11 @@
 }
 
 impl<S> EventRun<S> {
+    /// Returns the memory that the bytes of the run take until an event is complete, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.blocks.held_bytes()
+    }
+
     /// Returns the position of the caller, which has got all events that were returned.
     pub fn position(&self) -> StreamPosition {
         self.position
--- a/lib/src/limits/body_memory.rs
+++ b/lib/src/limits/body_memory.rs
@@ -57,6 +57,9 @@
     /// Response of a target that is collected before the caller gets it. Its request may have run,
     /// so it is never refused; it waits for memory instead.
     Response,
+    /// Part of an event of a stream. It is refused if there is no memory, since sound events need
+    /// hardly any.
+    Event,
 }
 
 /// Decision whether a body may grow.
@@ -105,12 +108,12 @@
     fn copies(&self) -> usize {
         match self.kind {
             BodyKind::Request { copies } => copies,
-            BodyKind::Response => 1,
+            BodyKind::Response | BodyKind::Event => 1,
         }
     }
 
     fn is_stalled(&self, now: Instant) -> bool {
-        let is_request = self.kind != BodyKind::Response;
+        let is_request = matches!(self.kind, BodyKind::Request { .. });
         let Stage::Receiving(progress) = self.stage else { return false };
         is_request && now.saturating_duration_since(progress) >= STALL_TIME
     }
@@ -149,6 +152,9 @@
         if self.held.saturating_add(bytes) <= limit {
             return Growth::Granted;
         }
+        if body.kind == BodyKind::Event {
+            return Growth::Refused;
+        }
         let shortage = self.held.saturating_add(bytes) - limit;
         match self.end_stalled(id, shortage, now) {
             Some(ended) => Growth::Wait(ended),
--- a/runtime/src/http/bodies/claim.rs
+++ b/runtime/src/http/bodies/claim.rs
@@ -91,6 +91,15 @@
         self.wait(|memory| memory.grow(id, bytes, shared.clock.now())).await
     }
 
+    /// Gives the body `bytes` bytes more, if they are free now.
+    pub(super) fn try_grow(&self, bytes: usize) -> Result<(), BodyReadError> {
+        let (shared, id) = (&self.shared, self.id);
+        match self.decide(|memory| memory.grow(id, bytes, shared.clock.now())) {
+            Growth::Granted => Ok(()),
+            Growth::Refused | Growth::Wait(_) => Err(BodyReadError::NoMemory),
+        }
+    }
+
     async fn wait(&self, decide: impl Fn(&mut BodyMemory) -> Growth) -> Result<(), BodyReadError> {
         loop {
             let released = self.shared.released.notified();
--- a/runtime/src/http/bodies/mod.rs
+++ b/runtime/src/http/bodies/mod.rs
@@ -3,8 +3,10 @@
 mod budget;
 mod buffer;
 mod claim;
+mod event;
 
 pub use self::{
     budget::{BodyBudget, BodyLimits, BodyReadError},
     buffer::{BodyBuffer, HeldBody, HeldMemory},
+    event::EventMemory,
 };
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -8,7 +8,9 @@
 
 pub use self::{
     accept::{accept_caller, bind_callers},
-    bodies::{BodyBudget, BodyBuffer, BodyLimits, BodyReadError, HeldBody, HeldMemory},
+    bodies::{
+        BodyBudget, BodyBuffer, BodyLimits, BodyReadError, EventMemory, HeldBody, HeldMemory,
+    },
     caller_stream::CallerStream,
     client::{Client, ClientError, Endpoint, read_body},
     server::{Server, ServerSettings},
--- a/runtime/tests/body_budget.rs
+++ b/runtime/tests/body_budget.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use fulmarhead_lib::{clock::SharedClock, limits::STALL_TIME};
-use fulmarhead_runtime::http::{BodyBudget, BodyBuffer, BodyLimits, BodyReadError, HeldBody};
+use fulmarhead_runtime::http::{
+    BodyBudget, BodyBuffer, BodyLimits, BodyReadError, EventMemory, HeldBody,
+};
 use futures::{StreamExt, stream};
 use http_body_util::{Full, StreamBody};
 use hyper::body::{Body, Frame, SizeHint};
@@ -163,6 +165,22 @@
     });
 }
 
+/// Guards against parts of events that are not accounted, and against their memory that is not
+/// released once the event is complete.
+#[test]
+fn events_are_held_within_the_memory() {
+    let (budget, _) = new_budget();
+    let mut streams: Vec<EventMemory> = (0..4).map(|_| EventMemory::new(&budget)).collect();
+    let held = streams.iter_mut().map(|stream| stream.hold(LARGE / 2).is_ok());
+    // Large events take at most three quarters of 8 MiB.
+    assert_eq!(held.collect::<Vec<_>>(), [true, true, true, false]);
+    streams[0].hold(100).unwrap();
+    assert_eq!(budget.held(), LARGE);
+    streams[3].hold(LARGE / 2).unwrap();
+    drop(streams);
+    assert_eq!(budget.held(), 0);
+}
+
 /// Guards against losing the response of a request that has run because memory is short, and
 /// against a response that is not woken when there is memory again.
 #[test]
