gateway: end responses that keep the memory for bodies from others

Seen in a new test: while four targets sent bodies without end to 300 requests that must not be repeated, 71 of 72 ordinary requests (600 bytes, another service, a sound target) were refused with 503 no_body_memory until the deadlines of the others.

Cause: a collected response waits for memory until its deadline and is never ended. Many that grow side by side use up all memory for bodies, none of them can end, and nothing is left for the bodies of other clients.

Change: an ordinary request body that finds no memory ends the largest response that waits for memory, or of which no bytes arrived for 1 s. A response that has waited for 1 s does the same, or is ended itself if it is the largest. What never ends is the largest sooner or later. The request of an ended response goes on at another target where it may, or gets 502; this is no loss of the target, so that it adds nothing to the quarantine.

Ruled out: a share of the memory that responses must not take. A single large response then waits although memory is free, which the tests response_uses_the_rest and response_waits_for_memory guard against.

--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -91,6 +91,9 @@
     /// The body is larger than `MAX_BODY_BYTES`, or never ends.
     #[error("answer is too large")]
     TooLarge,
+    /// The body could not go on, and others needed its memory.
+    #[error("there is no memory for the answer")]
+    NoMemory,
     /// Less than `MIN_PROGRESS_BYTES` arrived within the silence timeout, and the request can be
     /// retried at another target.
     #[error("answer stalled")]
@@ -104,8 +107,9 @@
     fn from(error: BufferError) -> Self {
         match error {
             BufferError::TooLarge => Self::TooLarge,
+            BufferError::NoMemory | BufferError::Stalled => Self::NoMemory,
             // The others concern request bodies.
-            _ => Self::Lost,
+            BufferError::Timeout | BufferError::Broken => Self::Lost,
         }
     }
 }
@@ -113,7 +117,9 @@
 impl From<BodyReadError> for Failure {
     fn from(error: BodyReadError) -> Self {
         match error {
-            BodyReadError::Lost | BodyReadError::TooLarge => Self::BadAnswer,
+            BodyReadError::Lost | BodyReadError::TooLarge | BodyReadError::NoMemory => {
+                Self::BadAnswer
+            }
             BodyReadError::Stalled => Self::Silent,
             BodyReadError::Timeout => Self::Timeout,
         }
@@ -128,13 +134,19 @@
 ) -> Result<Bytes, BodyReadError> {
     let clock = &context.gateway.clock;
     let mut received = BodyBuffer::for_response(&context.gateway.bodies, MAX_BODY_BYTES);
+    let token = received.token().clone();
     let mut period = Period { begun_at: clock.now(), received: 0 };
     loop {
         let now = clock.now();
         let remaining = call.deadline().remaining(now);
         let period_end = period.begun_at + context.silence_timeout();
         let wait = period_end.saturating_duration_since(now).max(SILENCE_CHECK_INTERVAL);
-        match timeout(remaining.min(wait), body.frame()).await {
+        let frame = tokio::select! {
+            biased;
+            () = token.cancelled() => return Err(BodyReadError::NoMemory),
+            frame = timeout(remaining.min(wait), body.frame()) => frame,
+        };
+        match frame {
             Ok(Some(Ok(frame))) => {
                 // A response that has to wait for memory is not read on, so that its target waits.
                 let data = frame_data(frame);
--- a/lib/src/limits/body_memory.rs
+++ b/lib/src/limits/body_memory.rs
@@ -55,7 +55,7 @@
         copies: usize,
     },
     /// Response of a target that is collected before the caller gets it. Its request may have run,
-    /// so it is never refused; it waits for memory instead.
+    /// so it waits for memory. It is ended only where it can't go on and others need its memory.
     Response,
     /// Part of an event of a stream. It is refused if there is no memory, since sound events need
     /// hardly any.
@@ -98,12 +98,19 @@
 enum Stage {
     /// The body is being received, and has made progress at this time.
     Receiving(Instant),
+    /// The response waits for memory since this time.
+    Waiting(Instant),
     /// The body is to be ended, and has not released its memory yet.
     Ending,
     /// The body is complete.
     Complete,
 }
 
+/// Returns whether [`STALL_TIME`] has passed since `since`.
+fn is_over(since: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(since) >= STALL_TIME
+}
+
 impl BodyState {
     fn copies(&self) -> usize {
         match self.kind {
@@ -112,10 +119,31 @@
         }
     }
 
+    /// Returns whether the body is that of a request which has made no progress for a time.
     fn is_stalled(&self, now: Instant) -> bool {
         let is_request = matches!(self.kind, BodyKind::Request { .. });
-        let Stage::Receiving(progress) = self.stage else { return false };
-        is_request && now.saturating_duration_since(progress) >= STALL_TIME
+        is_request && matches!(self.stage, Stage::Receiving(progress) if is_over(progress, now))
+    }
+
+    /// Returns whether the body is a response that has waited for memory for a time.
+    fn has_waited(&self, now: Instant) -> bool {
+        matches!(self.stage, Stage::Waiting(since) if is_over(since, now))
+    }
+
+    /// Returns whether the body is a response that can't go on now, or has not for a time.
+    fn is_stuck(&self, now: Instant) -> bool {
+        let is_response = self.kind == BodyKind::Response;
+        match self.stage {
+            Stage::Receiving(progress) => is_response && is_over(progress, now),
+            Stage::Waiting(_) => true,
+            Stage::Ending | Stage::Complete => false,
+        }
+    }
+
+    /// Returns whether the body is that of an ordinary request, also after it grows by `bytes`.
+    fn is_small_request(&self, bytes: usize) -> bool {
+        let small = SMALL_BODY_BYTES.saturating_mul(self.copies());
+        matches!(self.kind, BodyKind::Request { .. }) && self.held.saturating_add(bytes) <= small
     }
 }
 
@@ -152,14 +180,53 @@
         if self.held.saturating_add(bytes) <= limit {
             return Growth::Granted;
         }
-        if body.kind == BodyKind::Event {
-            return Growth::Refused;
-        }
         let shortage = self.held.saturating_add(bytes) - limit;
-        match self.end_stalled(id, shortage, now) {
-            Some(ended) => Growth::Wait(ended),
-            None if body.kind == BodyKind::Response => Growth::Wait(Vec::new()),
-            None => Growth::Refused,
+        let growth = match body.kind {
+            BodyKind::Event => Growth::Refused,
+            BodyKind::Request { .. } | BodyKind::Response => {
+                self.make_room(id, body, bytes, shortage, now)
+            }
+        };
+        if let (BodyKind::Response, Some(body)) = (body.kind, self.bodies.get_mut(&id))
+            && matches!(body.stage, Stage::Receiving(_))
+        {
+            body.stage = Stage::Waiting(now);
+        }
+        growth
+    }
+
+    /// Ends other bodies so that `body`, which lacks `shortage` bytes to grow by `bytes`, gets them.
+    ///
+    /// Responses are ended for ordinary requests, and for responses that have waited for a time,
+    /// which otherwise keep each other waiting until their deadlines.
+    fn make_room(
+        &mut self,
+        id: BodyId,
+        body: BodyState,
+        bytes: usize,
+        shortage: usize,
+        now: Instant,
+    ) -> Growth {
+        if let Some(ended) = self.end(id, shortage, |body| body.is_stalled(now)) {
+            return Growth::Wait(ended);
+        }
+        if body.is_small_request(bytes) || body.has_waited(now) {
+            let may_end = |other: &BodyState| other.is_stalled(now) || other.is_stuck(now);
+            let others = self.bodies.iter().filter(|(other, _)| **other != id);
+            let largest =
+                others.filter(|(_, other)| may_end(other)).map(|(_, other)| other.held).max();
+            // What never ends has the most.
+            let is_largest = largest.is_some_and(|largest| largest < body.held);
+            if body.kind == BodyKind::Response && is_largest {
+                return Growth::Refused;
+            }
+            if let Some(ended) = self.end(id, shortage, may_end) {
+                return Growth::Wait(ended);
+            }
+        }
+        match body.kind {
+            BodyKind::Response => Growth::Wait(Vec::new()),
+            BodyKind::Request { .. } | BodyKind::Event => Growth::Refused,
         }
     }
 
@@ -170,6 +237,9 @@
             let bytes = bytes.saturating_mul(body.copies());
             body.held += bytes;
             self.held += bytes;
+            if let Stage::Waiting(_) = body.stage {
+                body.stage = Stage::Receiving(now);
+            }
         }
         growth
     }
@@ -217,19 +287,22 @@
         if is_large { (self.capacity as f64 * LARGE_SHARE) as usize } else { self.capacity }
     }
 
-    /// Marks stalled bodies other than `id`, the largest first, so that at least `shortage` bytes
-    /// become free. Returns the bodies that were not marked before, or `None` if all of them hold
-    /// less.
-    fn end_stalled(&mut self, id: BodyId, shortage: usize, now: Instant) -> Option<Vec<BodyId>> {
+    /// Marks bodies other than `id` that `may_end`, the largest first, so that at least `shortage`
+    /// bytes become free. Returns the bodies that were not marked before, or `None` if all of them
+    /// hold less.
+    fn end(
+        &mut self,
+        id: BodyId,
+        shortage: usize,
+        may_end: impl Fn(&BodyState) -> bool,
+    ) -> Option<Vec<BodyId>> {
         let ending = self.bodies.values().filter(|body| body.stage == Stage::Ending);
         let mut freed: usize = ending.map(|body| body.held).sum();
-        let stalled =
-            self.bodies.iter().filter(|(other, body)| **other != id && body.is_stalled(now));
-        let mut stalled: Vec<(BodyId, usize)> =
-            stalled.map(|(id, body)| (*id, body.held)).collect();
-        stalled.sort_by_key(|(_, held)| Reverse(*held));
+        let others = self.bodies.iter().filter(|(other, body)| **other != id && may_end(body));
+        let mut others: Vec<(BodyId, usize)> = others.map(|(id, body)| (*id, body.held)).collect();
+        others.sort_by_key(|(_, held)| Reverse(*held));
         let mut ended = Vec::new();
-        for (id, held) in stalled {
+        for (id, held) in others {
             if freed >= shortage {
                 break;
             }
--- a/lib/tests/body_memory.rs
+++ b/lib/tests/body_memory.rs
@@ -165,6 +165,62 @@
     assert_eq!(growth, Growth::Wait(vec![bodies[1]]));
 }
 
+/// Guards against ordinary bodies that are refused while responses which can't go on hold all
+/// memory, and against ending more of them than needed.
+#[test]
+fn waiting_response_is_ended_for_an_ordinary_body() {
+    let mut scene = Scene::new();
+    let responses = scene.fill(BodyKind::Response, LARGE);
+    scene.add(REQUEST, SMALL_BODY_BYTES - 1);
+    let now = scene.clock.now();
+    let growth = scene.memory.grow(responses[1], LARGE, now);
+    assert_eq!(growth, Growth::Wait(Vec::new()));
+    let (_, growth) = scene.add(REQUEST, SMALL_BODY_BYTES);
+    assert_eq!(growth, Growth::Wait(vec![responses[1]]));
+    // A large one is refused, since it may be sent again.
+    assert_eq!(scene.add(REQUEST, LARGE).1, Growth::Refused);
+}
+
+/// Guards against the same with a response of which no bytes arrive.
+#[test]
+fn stalled_response_is_ended_for_an_ordinary_body() {
+    let mut scene = Scene::new();
+    let responses = scene.fill(BodyKind::Response, LARGE);
+    assert_eq!(scene.add(REQUEST, SMALL_BODY_BYTES).1, Growth::Refused);
+    scene.clock.advance(STALL_TIME);
+    let (_, growth) = scene.add(REQUEST, SMALL_BODY_BYTES);
+    assert_eq!(growth, Growth::Wait(vec![responses[0]]));
+}
+
+/// Guards against responses that wait for each other's memory until their deadlines: the largest of
+/// them is ended, whichever asks.
+#[test]
+fn largest_of_the_waiting_responses_is_ended() {
+    let mut scene = Scene::new();
+    let (largest, _) = scene.add(BodyKind::Response, 13 * LARGE);
+    let (other, _) = scene.add(BodyKind::Response, 12 * LARGE);
+    let now = scene.clock.now();
+    for id in [largest, other] {
+        assert_eq!(scene.memory.grow(id, LARGE, now), Growth::Wait(Vec::new()));
+    }
+    scene.clock.advance(STALL_TIME);
+    let now = scene.clock.now();
+    assert_eq!(scene.memory.grow(largest, LARGE, now), Growth::Refused);
+    assert_eq!(scene.memory.grow(other, LARGE, now), Growth::Wait(vec![largest]));
+}
+
+/// Guards against ending a response that waits while others go on and will release their memory.
+#[test]
+fn response_waits_beside_bodies_in_progress() {
+    let mut scene = Scene::new();
+    let responses = scene.fill(BodyKind::Response, LARGE);
+    let (waiting, _) = scene.add(BodyKind::Response, LARGE);
+    scene.clock.advance(STALL_TIME);
+    let now = scene.clock.now();
+    responses.iter().for_each(|&id| scene.memory.record_progress(id, now));
+    assert_eq!(scene.memory.grow(waiting, LARGE, now), Growth::Wait(Vec::new()));
+}
+
 quickcheck! {
     /// Guards against memory that is lost or released twice: whatever bodies do, the total is what
     /// the bodies hold, stays within the capacity, and is 0 at the end.
--- a/runtime/src/http/bodies/buffer.rs
+++ b/runtime/src/http/bodies/buffer.rs
@@ -40,7 +40,7 @@
     }
 
     /// Returns the token that is cancelled if the body has to release its memory.
-    pub(super) fn token(&self) -> &CancellationToken {
+    pub fn token(&self) -> &CancellationToken {
         &self.claim.token
     }
 
--- a/runtime/src/http/bodies/claim.rs
+++ b/runtime/src/http/bodies/claim.rs
@@ -4,13 +4,13 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     ids::BodyId,
-    limits::{BodyKind, BodyMemory, Growth},
+    limits::{BodyKind, BodyMemory, Growth, STALL_TIME},
 };
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// State that the bodies of a process share.
@@ -114,6 +114,8 @@
             tokio::select! {
                 () = self.token.cancelled() => return Err(BodyReadError::Stalled),
                 () = released => {}
+                // Decides again, as others may be ended now for a body that has waited.
+                () = sleep(STALL_TIME) => {}
             }
         }
     }
