gateway: end responses at the deadline while more bytes are there

Seen in two new tests: targets that send a body in chunks of one byte, or sound events, without end to 300 requests kept them past the deadline of 4 s. The first did not end within 20 s; the second, and the process, not within 60 s.

Cause: the deadline was only a timeout around the next read. A read that is ready wins over a timeout that has passed, and on a busy process there are always more bytes by the time a task runs.

Change: both readers compare the deadline with the clock before each read.

Measured: the same runs end 0.3 to 0.5 s after the deadline. Beside the sound events, ordinary requests of the debug build take up to seconds, since the events take all the time of the processor; the test checks only the memory and the end there.

--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -139,6 +139,10 @@
     loop {
         let now = clock.now();
         let remaining = call.deadline().remaining(now);
+        // A timeout does not end a body of which more bytes are always there.
+        if remaining.is_zero() {
+            return Err(BodyReadError::Timeout);
+        }
         let period_end = period.begun_at + context.silence_timeout();
         let wait = period_end.saturating_duration_since(now).max(SILENCE_CHECK_INTERVAL);
         let frame = tokio::select! {
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -249,6 +249,10 @@
     let mut silence_end = last_event + context.silence_timeout();
     loop {
         let remaining = target_response.call.deadline().remaining(clock.now());
+        // A timeout does not end a stream of which more bytes are always there.
+        if remaining.is_zero() {
+            return Err(Failure::Timeout);
+        }
         let wait = silence_end.saturating_duration_since(clock.now());
         let frame = timeout(remaining.min(wait), target_response.body.frame());
         let frame = tokio::select! {
