runtime: limit each response by what its call needs

Cause: one limit of 16 MiB for the body of any response, the library's limit of 400 KiB for a head, and a body that is collected as the list of its chunks and then copied.

Heads have 16 KiB. A body is collected in one piece, and not at all if its announced length is over the limit. The document of the configuration service has 32 MiB as a whole, the size of a message between processes.

--- a/agent/src/target/monitor.rs
+++ b/agent/src/target/monitor.rs
@@ -4,7 +4,7 @@
 use crate::agent::{Agent, AgentState};
 use fulmarhead_lib::config::TargetKind;
 use fulmarhead_runtime::{
-    http::{ClientError, Endpoint},
+    http::{CallLimits, ClientError, Endpoint},
     platform::engine::EngineLoad,
     supervisor::TaskResult,
 };
@@ -23,8 +23,9 @@
 /// Number of consecutive failed readings after which work running at the target counts as lost.
 const LOST_AFTER_FAILURES: u32 = 3;
 
-/// Timeout of one reading of an application.
-const APPLICATION_READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limits on one reading of an application, which sends a single number.
+const APPLICATION_READ_LIMITS: CallLimits =
+    CallLimits { time: Duration::from_secs(1), bytes: 4 << 10 };
 
 /// The part of the response to `/load` that the agent uses.
 #[derive(Debug, Deserialize)]
@@ -83,7 +84,7 @@
         TargetKind::Application => {
             let endpoint = Endpoint::new(agent.settings.target_address, "/load");
             let load: ApplicationLoad =
-                agent.client.get_json(&endpoint, APPLICATION_READ_TIMEOUT).await?;
+                agent.client.get_json(&endpoint, APPLICATION_READ_LIMITS).await?;
             Ok(EngineLoad { restarts: load.restarts, ..EngineLoad::default() })
         }
     }
--- a/local/src/demo/client.rs
+++ b/local/src/demo/client.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use fulmarhead_lib::{ids::Position, request::EventId};
-use fulmarhead_runtime::http::{Client, ClientError, Endpoint, read_body};
+use fulmarhead_runtime::http::{CallLimits, Client, ClientError, Endpoint, read_body};
 use futures::StreamExt;
 use http_body_util::BodyDataStream;
 use hyper::{
@@ -18,6 +18,9 @@
 /// Largest response body that is read as a whole.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Limits on reading the state of a process.
+const STATE_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(1), bytes: 16 << 20 };
+
 /// Reason that a request to the local fleet failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -148,7 +151,7 @@
     /// Returns the debug state of the process with the given address for operators.
     pub async fn debug_state(&self, ops_address: SocketAddr) -> Result<Value, CallError> {
         let endpoint = Endpoint::new(ops_address, "/debug/state");
-        Ok(self.client.get_json(&endpoint, Duration::from_secs(1)).await?)
+        Ok(self.client.get_json(&endpoint, STATE_LIMITS).await?)
     }
 }
 
--- a/runtime/src/http/client.rs
+++ b/runtime/src/http/client.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 client with a connection pool.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONTENT_TYPE, HeaderMap, HeaderValue},
 };
 use hyper_util::{
@@ -18,6 +18,10 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of the head of a response, in bytes, and of the read buffer of a connection. The
+/// library's own limit of 400 KiB for each of many calls is more than a small process has.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -32,7 +36,7 @@
     Call(#[source] legacy::Error),
     /// Reading the body of the response failed.
     #[error("answer broke off: {0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[source] hyper::Error),
     /// The body of the response exceeds the size limit, in bytes.
     #[error("response is larger than {0} bytes")]
     TooLarge(usize),
@@ -57,6 +61,15 @@
     }
 }
 
+/// Limits on the response to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Maximum time from the beginning of the call to the end of the response.
+    pub time: Duration,
+    /// Maximum size of the body, in bytes.
+    pub bytes: usize,
+}
+
 /// Address of a server and the path and query of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
@@ -106,6 +119,7 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(count)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { inner }
     }
@@ -139,9 +153,9 @@
     pub async fn get_json<T: DeserializeOwned>(
         &self,
         endpoint: &Endpoint,
-        time_limit: Duration,
+        limits: CallLimits,
     ) -> Result<T, ClientError> {
-        let body = self.call(Method::GET, endpoint, Bytes::new(), time_limit).await?;
+        let body = self.call(Method::GET, endpoint, Bytes::new(), limits).await?;
         Ok(serde_json::from_slice(&body)?)
     }
 
@@ -155,9 +169,9 @@
         method: Method,
         endpoint: &Endpoint,
         message: &M,
-        time_limit: Duration,
+        limits: CallLimits,
     ) -> Result<Bytes, ClientError> {
-        self.call(method, endpoint, serde_json::to_vec(message)?.into(), time_limit).await
+        self.call(method, endpoint, serde_json::to_vec(message)?.into(), limits).await
     }
 
     /// Sends a JSON body and returns the body of a successful response. An empty body is sent
@@ -171,28 +185,28 @@
         method: Method,
         endpoint: &Endpoint,
         body: Bytes,
-        time_limit: Duration,
+        limits: CallLimits,
     ) -> Result<Bytes, ClientError> {
         let mut headers = HeaderMap::new();
         if !body.is_empty() {
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        self.call_with(method, endpoint, headers, body, time_limit).await
+        self.call_with(method, endpoint, headers, body, limits).await
     }
 
     /// Sends a body with `headers` and returns the body of a successful response.
     ///
     /// # Errors
     ///
-    /// Returns an error if [`Self::send`] fails, the call exceeds `time_limit`, the status is not a
-    /// success, or the response body is larger than 16 MiB or can't be read.
+    /// Returns an error if [`Self::send`] fails, the response exceeds `limits` or can't be read, or
+    /// its status is not a success. The body of such a response is not read.
     pub async fn call_with(
         &self,
         method: Method,
         endpoint: &Endpoint,
         headers: HeaderMap,
         body: Bytes,
-        time_limit: Duration,
+        limits: CallLimits,
     ) -> Result<Bytes, ClientError> {
         let call = async {
             let response = self.send(method, endpoint, headers, body).await?;
@@ -200,24 +214,30 @@
             if !status.is_success() {
                 return Err(ClientError::Status(status));
             }
-            read_body(response.into_body(), MAX_RESPONSE_BYTES).await
+            read_body(response.into_body(), limits.bytes).await
         };
-        timeout(time_limit, call).await.map_err(|_| ClientError::Timeout(time_limit))?
+        timeout(limits.time, call).await.map_err(|_| ClientError::Timeout(limits.time))?
     }
 }
 
-/// Maximum size of a response body that is read into memory.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// Reads a body of at most `max_bytes` bytes into memory.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is larger or reading it fails.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ClientError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ClientError::TooLarge(max_bytes)),
-        Err(error) => Err(ClientError::Body(error)),
+pub async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ClientError> {
+    let announced = body.size_hint().lower();
+    if announced > max_bytes as u64 {
+        return Err(ClientError::TooLarge(max_bytes));
+    }
+    // In one piece, since each chunk kept by itself takes many times the size of a tiny one.
+    let mut received: Vec<u8> = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(ClientError::Body)?.into_data() else { continue };
+        if data.len() > max_bytes - received.len() {
+            return Err(ClientError::TooLarge(max_bytes));
+        }
+        received.extend_from_slice(&data);
     }
+    Ok(received.into())
 }
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -12,6 +12,6 @@
         BodyBudget, BodyBuffer, BodyLimits, BodyReadError, EventMemory, HeldBody, HeldMemory,
     },
     caller_stream::CallerStream,
-    client::{Client, ClientError, Endpoint, read_body},
+    client::{CallLimits, Client, ClientError, Endpoint, read_body},
     server::{Server, ServerSettings},
 };
--- a/runtime/src/platform/config_service.rs
+++ b/runtime/src/platform/config_service.rs
@@ -1,14 +1,20 @@
 //! Read-only client of the platform's configuration service.
 
-use crate::http::{Client, ClientError, Endpoint};
+use crate::http::{CallLimits, Client, ClientError, Endpoint};
 use bytes::Bytes;
 use fulmarhead_lib::{config::Bundle, digest::sha256_hex, ids::Revision};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
-/// Timeout for reading one value.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of a value that the service stores, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Maximum size of the document, in bytes, which has to fit into one message between processes.
+const MAX_DOCUMENT_BYTES: usize = 32 << 20;
+
+/// Limits on reading one value.
+const READ_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(2), bytes: MAX_VALUE_BYTES };
 
 /// Timeout for the response to a watch, counted from the end of its wait time.
 const WATCH_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,6 +52,12 @@
         /// Key of the part.
         key: String,
     },
+    /// The parts of the document together are larger than 32 MiB.
+    #[error("document of revision {revision} is larger than {MAX_DOCUMENT_BYTES} bytes")]
+    TooLarge {
+        /// Revision of the document.
+        revision: Revision,
+    },
     /// The concatenated document is not UTF-8.
     #[error("document of revision {revision} is not UTF-8")]
     Encoding {
@@ -75,7 +87,7 @@
     /// UTF-8.
     pub async fn read(&self) -> Result<Bundle, ConfigServiceError> {
         let endpoint = self.endpoint("/v1/values/fleet/head");
-        let head = self.client.get_json(&endpoint, READ_TIMEOUT).await?;
+        let head = self.client.get_json(&endpoint, READ_LIMITS).await?;
         self.read_document(head).await
     }
 
@@ -91,7 +103,8 @@
     ) -> Result<Option<Bundle>, ConfigServiceError> {
         let query = format!("/v1/watch/fleet/head?after={after}&wait_ms={}", wait.as_millis());
         let endpoint = self.endpoint(&query);
-        match self.client.get_json(&endpoint, wait + WATCH_RESPONSE_TIMEOUT).await {
+        let limits = CallLimits { time: wait + WATCH_RESPONSE_TIMEOUT, ..READ_LIMITS };
+        match self.client.get_json(&endpoint, limits).await {
             Ok(head) => Ok(Some(self.read_document(head).await?)),
             Err(ClientError::Status(StatusCode::NOT_MODIFIED)) => Ok(None),
             Err(error) => Err(error.into()),
@@ -101,7 +114,11 @@
     async fn read_document(&self, head: DocumentHead) -> Result<Bundle, ConfigServiceError> {
         let mut text = Vec::new();
         for part in head.parts {
-            text.extend_from_slice(&self.read_part(part).await?);
+            let part = self.read_part(part).await?;
+            if part.len() > MAX_DOCUMENT_BYTES - text.len() {
+                return Err(ConfigServiceError::TooLarge { revision: head.revision });
+            }
+            text.extend_from_slice(&part);
         }
         let revision = head.revision;
         let text =
@@ -111,7 +128,7 @@
 
     async fn read_part(&self, part: DocumentPart) -> Result<Bytes, ConfigServiceError> {
         let endpoint = self.endpoint(&format!("/v1/values/{}", part.key));
-        let value = self.client.call(Method::GET, &endpoint, Bytes::new(), READ_TIMEOUT).await?;
+        let value = self.client.call(Method::GET, &endpoint, Bytes::new(), READ_LIMITS).await?;
         if sha256_hex(&value) != part.sha256 {
             return Err(ConfigServiceError::Digest { key: part.key });
         }
--- a/runtime/src/platform/engine.rs
+++ b/runtime/src/platform/engine.rs
@@ -1,6 +1,6 @@
 //! Client and message types of the HTTP interface of model engines.
 
-use crate::http::{Client, ClientError, Endpoint};
+use crate::http::{CallLimits, Client, ClientError, Endpoint};
 use bytes::Bytes;
 use fulmarhead_lib::{
     ids::{FencingToken, LeaseId, ModelId, Position, RequestId, Tokens},
@@ -15,6 +15,15 @@
 /// Timeout for calls other than completions and prefills.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Limits on responses that only confirm a call.
+const CONFIRMATION_LIMITS: CallLimits = CallLimits { time: CALL_TIMEOUT, bytes: 4 << 10 };
+
+/// Limits on a load, which lists models and adapters.
+const LOAD_LIMITS: CallLimits = CallLimits { time: CALL_TIMEOUT, bytes: 256 << 10 };
+
+/// Limits on a list of allocations, about 100 bytes each.
+const ALLOCATIONS_LIMITS: CallLimits = CallLimits { time: CALL_TIMEOUT, bytes: 1 << 20 };
+
 /// Client that an agent uses for its engine.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
@@ -30,13 +39,13 @@
 
     /// Reads the current load of the engine.
     pub async fn load(&self) -> Result<EngineLoad, ClientError> {
-        self.client.get_json(&self.endpoint("/load"), CALL_TIMEOUT).await
+        self.client.get_json(&self.endpoint("/load"), LOAD_LIMITS).await
     }
 
     /// Lists the KV cache memory that leases hold.
     pub async fn allocations(&self) -> Result<Vec<Allocation>, ClientError> {
         let endpoint = self.endpoint("/kv");
-        let list: AllocationList = self.client.get_json(&endpoint, CALL_TIMEOUT).await?;
+        let list: AllocationList = self.client.get_json(&endpoint, ALLOCATIONS_LIMITS).await?;
         Ok(list.allocations)
     }
 
@@ -44,7 +53,7 @@
     pub async fn allocate(&self, lease: LeaseId, tokens: Tokens) -> Result<(), ClientError> {
         let endpoint = self.endpoint(&format!("/kv/{lease}"));
         let request = AllocateRequest { tokens };
-        self.client.send_json(Method::PUT, &endpoint, &request, CALL_TIMEOUT).await?;
+        self.client.send_json(Method::PUT, &endpoint, &request, CONFIRMATION_LIMITS).await?;
         Ok(())
     }
 
@@ -61,13 +70,13 @@
     /// Sends an order, such as loading a model, to the engine.
     pub async fn order(&self, order: &OrderRequest) -> Result<(), ClientError> {
         let endpoint = self.endpoint("/orders");
-        self.client.send_json(Method::POST, &endpoint, order, CALL_TIMEOUT).await?;
+        self.client.send_json(Method::POST, &endpoint, order, CONFIRMATION_LIMITS).await?;
         Ok(())
     }
 
     async fn delete(&self, path: &str) -> Result<(), ClientError> {
         let endpoint = self.endpoint(path);
-        match self.client.call(Method::DELETE, &endpoint, Bytes::new(), CALL_TIMEOUT).await {
+        match self.client.call(Method::DELETE, &endpoint, Bytes::new(), CONFIRMATION_LIMITS).await {
             Ok(_) | Err(ClientError::Status(StatusCode::NOT_FOUND)) => Ok(()),
             Err(error) => Err(error),
         }
--- a/runtime/tests/client.rs
+++ b/runtime/tests/client.rs
@@ -1,7 +1,7 @@
 //! Tests of the HTTP client against a server that breaks the protocol.
 
 use bytes::Bytes;
-use fulmarhead_runtime::http::{Client, Endpoint, read_body};
+use fulmarhead_runtime::http::{CallLimits, Client, Endpoint, read_body};
 use hyper::{HeaderMap, Method};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -10,6 +10,8 @@
     time::sleep,
 };
 
+const LIMITS: CallLimits = CallLimits { time: Duration::from_secs(5), bytes: 1 << 10 };
+
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nbusy";
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
@@ -79,8 +81,7 @@
     let endpoint = Endpoint::new(start_stopping_server().await, "/");
     let client = Client::without_pool();
     for end in 0..ANSWER.len() {
-        let called =
-            client.call(Method::POST, &endpoint, Bytes::new(), Duration::from_secs(5)).await;
+        let called = client.call(Method::POST, &endpoint, Bytes::new(), LIMITS).await;
         let is_unsent = called.map_err(|error| error.is_unsent());
         assert_eq!(is_unsent, Err(false), "after {end} bytes");
     }
--- a/standins/src/application/state.rs
+++ b/standins/src/application/state.rs
@@ -2,7 +2,7 @@
 
 use crate::cold::{ColdSettings, WarmupState};
 use fulmarhead_runtime::{
-    http::{Client, ClientError, Endpoint},
+    http::{CallLimits, Client, ClientError, Endpoint},
     supervisor::Connections,
 };
 use hyper::Method;
@@ -14,8 +14,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// Timeout of a request to the recorder.
-const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limits on a request to the recorder.
+const RECORD_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(2), bytes: 4 << 10 };
 
 /// Performance model of an application worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,7 +160,7 @@
     pub(super) async fn record_effect(&self, effect: Effect) -> Result<usize, ClientError> {
         if let Some(recorder) = self.settings.recorder {
             let endpoint = Endpoint::new(recorder, "/effects");
-            self.client.send_json(Method::POST, &endpoint, &effect, RECORD_TIMEOUT).await?;
+            self.client.send_json(Method::POST, &endpoint, &effect, RECORD_LIMITS).await?;
         }
         let mut state = self.lock();
         state.effects.push(effect);
--- a/testutils/src/process/fleet.rs
+++ b/testutils/src/process/fleet.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use fulmarhead_lib::{config, digest::sha256_hex, ids::Revision};
 use fulmarhead_runtime::{
-    http::{Client, ClientError, Endpoint},
+    http::{CallLimits, Client, ClientError, Endpoint},
     platform::{DocumentHead, DocumentPart},
 };
 use hyper::Method;
@@ -22,8 +22,8 @@
 /// Maximum time for the processes to start, and for a revision to take effect everywhere.
 pub(super) const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Timeout of one write to the configuration service.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limits on one write to the configuration service.
+const WRITE_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(1), bytes: 4 << 10 };
 
 /// Reason why a fleet could not be started or reconfigured.
 #[derive(Debug, thiserror::Error)]
@@ -173,7 +173,7 @@
         let endpoint = Endpoint::new(address, format!("/v1/values/{key}"));
         // Retries because the service may still be starting.
         eventually("the configuration service accepts a value", START_TIMEOUT, async || {
-            let call = self.client.call(Method::PUT, &endpoint, value.clone(), WRITE_TIMEOUT);
+            let call = self.client.call(Method::PUT, &endpoint, value.clone(), WRITE_LIMITS);
             call.await.ok()
         })
         .await?;
--- a/testutils/src/process/observe.rs
+++ b/testutils/src/process/observe.rs
@@ -9,14 +9,14 @@
     ids::{Revision, Tokens},
     lease::Allocation,
 };
-use fulmarhead_runtime::http::Endpoint;
+use fulmarhead_runtime::http::{CallLimits, Endpoint};
 use hyper::Method;
 use serde::Deserialize;
 use serde_json::Value;
 use std::time::Duration;
 
 /// Timeout of one request to a readiness probe.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(1), bytes: 16 << 20 };
 
 /// Effect of a call, as recorded by an application worker.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -51,7 +51,7 @@
     /// Returns whether an entry or the agent of a target reports that it accepts new work.
     pub async fn is_ready(&self, name: &str) -> bool {
         let endpoint = Endpoint::new(self.address_of(&format!("{name}/ops")), "/readyz");
-        self.client.call(Method::GET, &endpoint, Bytes::new(), READ_TIMEOUT).await.is_ok()
+        self.client.call(Method::GET, &endpoint, Bytes::new(), READ_LIMITS).await.is_ok()
     }
 
     /// Returns the active revision of an entry or the agent of a target, 0 if it is unreachable.
--- a/testutils/src/process/wait.rs
+++ b/testutils/src/process/wait.rs
@@ -1,7 +1,7 @@
 //! Polling for conditions that other processes bring about.
 
 use bytes::Bytes;
-use fulmarhead_runtime::http::{Client, ClientError, Endpoint};
+use fulmarhead_runtime::http::{CallLimits, Client, ClientError, Endpoint};
 use hyper::Method;
 use serde_json::Value;
 use std::{net::SocketAddr, time::Duration};
@@ -10,8 +10,8 @@
 /// Delay between two polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Timeout of one request.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limits on one request; the largest response is the state of a process.
+const READ_LIMITS: CallLimits = CallLimits { time: Duration::from_secs(1), bytes: 16 << 20 };
 
 /// Error of a condition that was not met within its time limit.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -51,6 +51,6 @@
     path: &str,
 ) -> Result<Value, ClientError> {
     let endpoint = Endpoint::new(address, path);
-    let body = client.call(Method::GET, &endpoint, Bytes::new(), READ_TIMEOUT).await?;
+    let body = client.call(Method::GET, &endpoint, Bytes::new(), READ_LIMITS).await?;
     Ok(serde_json::from_slice(&body)?)
 }
