entry: limit the events of an agent's stream

Seen in new tests of the reader that the entry used: an event without end, or comments, were read for the 20 s of the test, and one stream of data lines took 72 MB of memory in that time. The entry reads up to 10,000 streams; a faulty engine, whose bytes the agent passes on as they are, could end its process.

Cause: the library for server-sent events keeps a partial event of any size.

Change: `EventReader` fails after 16 KiB without an event. An event of a completion has one token. To the entry this is a stream that broke off, so that the request goes on at another engine, and an engine that never sends a sound item is one of the two that may fail before the request is given up. The load generator reads with the same limit.

--- a/entry/src/dispatch/events.rs
+++ b/entry/src/dispatch/events.rs
@@ -1,19 +1,19 @@
 //! Server-sent events in the response of an agent, parsed into stream items.
 
-use eventsource_stream::{Event, EventStream};
+use eventsource_stream::Event;
 use fulmarhead_lib::{
     ids::{Position, Tokens},
     request::StreamItem,
 };
-use futures::StreamExt;
-use http_body_util::BodyDataStream;
+use fulmarhead_runtime::http::EventReader;
 use hyper::body::Incoming;
 use serde::Deserialize;
 
 /// Reasons why the next item of a stream can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum StreamError {
-    /// The connection was lost, the body ended early, or its text is not UTF-8.
+    /// The connection was lost, the body ended early, its text is not UTF-8, or an event is too
+    /// large.
     #[error("stream broke off")]
     Interrupted,
     /// An event has no position or does not contain a completion chunk.
@@ -22,7 +22,7 @@
 }
 
 /// The items in the response body of one attempt.
-pub(super) struct ItemStream(EventStream<BodyDataStream<Incoming>>);
+pub(super) struct ItemStream(EventReader);
 
 #[derive(Debug, Deserialize)]
 struct EventData {
@@ -50,7 +50,7 @@
 impl ItemStream {
     /// Returns the items of the events in `body`.
     pub(super) fn new(body: Incoming) -> Self {
-        Self(EventStream::new(BodyDataStream::new(body)))
+        Self(EventReader::new(body))
     }
 
     /// Returns the next item.
--- a/load/src/request/stream.rs
+++ b/load/src/request/stream.rs
@@ -2,14 +2,13 @@
 
 use super::{ResponseRecord, parse_problem};
 use crate::record::{ErrorKind, RequestResult};
-use eventsource_stream::{Event, EventStream};
+use eventsource_stream::Event;
 use fulmarhead_lib::{
     clock::SharedClock,
     ids::{Position, Tokens},
     request::EventId,
 };
-use futures::StreamExt;
-use http_body_util::BodyDataStream;
+use fulmarhead_runtime::http::EventReader;
 use hyper::body::Incoming;
 use serde::Deserialize;
 
@@ -33,7 +32,7 @@
     clock: &SharedClock,
     record: &mut ResponseRecord,
 ) {
-    let mut events = EventStream::new(BodyDataStream::new(body));
+    let mut events = EventReader::new(body);
     let mut next_position: Position = 0;
     while let Some(Ok(event)) = events.next().await {
         if event.event == "error" {
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod bodies;
 mod caller_stream;
 mod client;
+mod events;
 mod server;
 
 pub use self::{
@@ -13,5 +14,6 @@
     },
     caller_stream::CallerStream,
     client::{CallLimits, Client, ClientError, Endpoint, read_body},
+    events::{EventReadError, EventReader},
     server::{Server, ServerSettings},
 };
--- a/runtime/tests/client.rs
+++ b/runtime/tests/client.rs
@@ -1,13 +1,16 @@
 //! Tests of the HTTP client against a server that breaks the protocol.
 
 use bytes::Bytes;
-use fulmarhead_runtime::http::{CallLimits, Client, Endpoint, read_body};
+use fulmarhead_runtime::http::{
+    CallLimits, Client, Endpoint, EventReadError, EventReader, read_body,
+};
 use hyper::{HeaderMap, Method};
 use std::{net::SocketAddr, time::Duration};
+use testutils::cases;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 const LIMITS: CallLimits = CallLimits { time: Duration::from_secs(5), bytes: 1 << 10 };
@@ -86,3 +89,50 @@
         assert_eq!(is_unsent, Err(false), "after {end} bytes");
     }
 }
+
+/// Returns the events of a server that sends one and then `text` again and again until the
+/// connection is closed.
+async fn open_endless_stream(text: &'static str) -> EventReader {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let _ = connection.read(&mut [0; 4096]).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
+        let mut result = connection.write_all(head.as_bytes()).await;
+        while result.is_ok() {
+            result = connection.write_all(text.as_bytes()).await;
+        }
+    });
+    let (client, endpoint) = (Client::default(), Endpoint::new(address, "/"));
+    let sent = client.send(Method::GET, &endpoint, HeaderMap::new(), Bytes::new());
+    EventReader::new(sent.await.unwrap().into_body())
+}
+
+fn check_endless_stream(text: &'static str) {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+        let mut events = open_endless_stream(text).await;
+        assert_eq!(events.next().await.unwrap().unwrap().data, "a");
+        let next = timeout(Duration::from_secs(20), events.next()).await.expect("it is read on");
+        assert!(matches!(next, Some(Err(EventReadError::TooLarge))), "{next:?}");
+    });
+}
+
+cases! {
+    check_endless_stream {
+        /// Guards against a partial event that takes the memory of an entry.
+        endless_line: ("xxxxxxxxxxxxxxxx"),
+        endless_data: ("data: xxxxxxxxx\n"),
+        /// Guards against comments, which are no progress, without end.
+        endless_comments: (": x\n\n"),
+    }
+}
+
+/// Guards against a stream of many events that is taken for a large one.
+#[tokio::test]
+async fn long_stream_is_read() {
+    let mut events = open_endless_stream("id: 1\ndata: a\n\n").await;
+    for _ in 0..10_000 {
+        assert_eq!(events.next().await.unwrap().unwrap().data, "a");
+    }
+}
