--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -147,6 +147,10 @@
                 );
                 loaded = false;
             }
+            Err(error @ StoreError::TooManyChanges) => {
+                info!(target: "decision", part:%, error:%; "reading a snapshot");
+                loaded = false;
+            }
             Err(error) if !failing => {
                 warn!(target: "decision", part:%, error:%; "the platform's store failed");
                 failing = true;
