gateway: limit messages between gateways by what they carry

Seen in a new test: eight connections to the control address of a gateway with 96 MB that each announce a message of 31 MiB and do not complete it took 276 MB.

Cause: the gateway used the limit of the product's own control messages, 32 MiB, for which each connection keeps what has arrived.

Change: 12 MiB, which is what a message can carry: both parts of the store with 4 MiB each, the entries and their loads. A larger one ends the connection before it is read.

The sum over many connections is still not bounded: eight incomplete messages of 12 MiB take as many.

--- a/gateway/src/peers/server.rs
+++ b/gateway/src/peers/server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     exchange::CallerSession,
-    protocol::{ExchangeRequest, ExchangeResponse, Peering},
+    protocol::{ExchangeRequest, ExchangeResponse, MAX_MESSAGE_BYTES, Peering},
 };
 use crate::gateway::Gateway;
 use fulmarhead_runtime::{
@@ -61,7 +61,7 @@
 }
 
 async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, stop: CancellationToken) {
-    let Ok(transport) = control_transport(stream) else { return };
+    let Ok(transport) = control_transport(stream, MAX_MESSAGE_BYTES) else { return };
     let session = Arc::new(Mutex::new(CallerSession::new(gateway.next_connection())));
     let handler = PeeringHandler { gateway: Arc::clone(&gateway), session: Arc::clone(&session) };
     let calls = BaseChannel::with_defaults(transport).execute(handler.serve());
--- a/gateway/src/peers/task.rs
+++ b/gateway/src/peers/task.rs
@@ -1,6 +1,9 @@
 //! Runs one task for each peer that this entry calls, which exchanges state with it repeatedly.
 
-use super::{exchange::PeerSession, protocol::PeeringClient};
+use super::{
+    exchange::PeerSession,
+    protocol::{MAX_MESSAGE_BYTES, PeeringClient},
+};
 use crate::gateway::Gateway;
 use fulmarhead_lib::membership::Link;
 use fulmarhead_runtime::{control::control_transport, supervisor::TaskResult};
@@ -98,7 +101,9 @@
 ) -> Result<Infallible, ExchangeError> {
     let connect = timeout(CALL_TIMEOUT, TcpStream::connect(address));
     let stream = connect.await.map_err(|_| ExchangeError::Timeout)??;
-    let client = PeeringClient::new(Config::default(), control_transport(stream)?).spawn();
+    let client =
+        PeeringClient::new(Config::default(), control_transport(stream, MAX_MESSAGE_BYTES)?)
+            .spawn();
     let mut peer_updates = gateway.peer_updates.subscribe();
     let mut session = PeerSession::new(link, gateway.next_connection());
     let mut urgent = false;
--- a/runtime/src/control/client.rs
+++ b/runtime/src/control/client.rs
@@ -1,6 +1,6 @@
 //! Client side of the control protocol.
 
-use super::{protocol::ControlClient, transport::control_transport};
+use super::{MAX_FRAME_BYTES, protocol::ControlClient, transport::control_transport};
 use fulmarhead_lib::{
     clock::SharedClock,
     config::Bundle,
@@ -51,7 +51,9 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| PeerError::ConnectTimeout(CONNECT_TIMEOUT))??;
-        let client = ControlClient::new(Config::default(), control_transport(stream)?).spawn();
+        let client =
+            ControlClient::new(Config::default(), control_transport(stream, MAX_FRAME_BYTES)?)
+                .spawn();
         Ok(Self { client, clock })
     }
 
--- a/runtime/src/control/mod.rs
+++ b/runtime/src/control/mod.rs
@@ -11,3 +11,7 @@
     server::{ControlHandler, ControlServer},
     transport::{ControlTransport, control_transport},
 };
+
+/// Maximum size of a message, large enough for the full configuration of the largest supported
+/// fleet.
+const MAX_FRAME_BYTES: usize = 32 << 20;
--- a/runtime/src/control/server.rs
+++ b/runtime/src/control/server.rs
@@ -1,6 +1,6 @@
 //! Server side of the control protocol.
 
-use super::{protocol::Control, transport::control_transport};
+use super::{MAX_FRAME_BYTES, protocol::Control, transport::control_transport};
 use crate::supervisor::{Connections, TaskResult};
 use fulmarhead_lib::{
     config::Bundle,
@@ -106,7 +106,7 @@
 /// Serves the calls of one connection in the order of their arrival.
 async fn serve_connection(service: HandlerService, stream: TcpStream, stop: CancellationToken) {
     // The connection is dropped if its options can't be set, as when it is already closed.
-    let Ok(transport) = control_transport(stream) else { return };
+    let Ok(transport) = control_transport(stream, MAX_FRAME_BYTES) else { return };
     let calls = BaseChannel::with_defaults(transport).execute(service.serve());
     let responses = calls.for_each(|call| call);
     tokio::select! {
--- a/runtime/src/control/transport.rs
+++ b/runtime/src/control/transport.rs
@@ -16,10 +16,6 @@
 };
 use tokio_util::io::{InspectReader, InspectWriter};
 
-/// Maximum size of a message, large enough for the full configuration of the largest supported
-/// fleet.
-const MAX_FRAME_BYTES: usize = 32 << 20;
-
 /// Callback that is invoked with the bytes of each read or write.
 pub type ByteCounter = fn(&[u8]);
 
@@ -31,13 +27,15 @@
 pub type ControlTransport<Item, SinkItem> =
     Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
 
-/// Returns a transport over a connected stream.
+/// Returns a transport over a connected stream, which ends at a message of more than
+/// `max_frame_bytes` bytes.
 ///
 /// # Errors
 ///
 /// Returns an error if `TCP_NODELAY` can't be set.
 pub fn control_transport<Item, SinkItem>(
     stream: TcpStream,
+    max_frame_bytes: usize,
 ) -> io::Result<ControlTransport<Item, SinkItem>>
 where
     Item: for<'de> serde::Deserialize<'de>,
@@ -50,7 +48,7 @@
         InspectWriter::new(writer, count_sent as ByteCounter),
     );
     let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
+    codec.set_max_frame_length(max_frame_bytes);
     Ok(serde_transport::new(Framed::new(counted, codec), Bincode::default()))
 }
 
