gateway: end a request after many informational responses

Seen in a new test: a target that sends 103 Early Hints without end held an order, which must not be repeated, for 5 s, until its deadline (504), and the gateway read all the while.

Cause: the HTTP library drops informational responses and reads on; the limit of a head does not count them.

Change: after 16 of them the request ends as one whose outcome is unknown.

--- a/gateway/src/serve/send.rs
+++ b/gateway/src/serve/send.rs
@@ -7,11 +7,18 @@
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1::Builder};
+use hyper::{
+    Request, Response, body::Incoming, client::conn::http1::Builder, ext::on_informational,
+};
 use hyper_util::rt::TokioIo;
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 use tokio::{net::TcpStream, time::timeout};
-use tokio_util::task::AbortOnDropHandle;
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 /// Timeout for establishing a connection. Round trips take a few milliseconds, and a target whose
 /// accept queue is full answers only after one second.
@@ -21,6 +28,10 @@
 /// send a few hundred bytes, and as many connections as there are callers may be open.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Number of informational responses to one request after which no final one is expected. Sound
+/// targets send one at most.
+const MAX_INFORMATIONAL: usize = 16;
+
 /// The reason why a request has no response head.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum SendError {
@@ -34,6 +45,9 @@
     /// The connection failed after the request may have been sent.
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The target sent informational responses without end.
+    #[error("more than {MAX_INFORMATIONAL} informational responses")]
+    Informational,
     /// The target sent no response head for this long, and the request can be retried at another
     /// target.
     #[error("no answer within {0:?}")]
@@ -82,7 +96,7 @@
     /// called.
     pub(super) async fn send(
         self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<PendingResponse, SendError> {
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
@@ -91,14 +105,33 @@
             // Failures are reported by the request sender or the response body.
             let _ = driver.await;
         }));
-        let response = async move { sender.send_request(request).await }.boxed();
+        let excess = limit_informational(&mut request);
+        let response = async move {
+            tokio::select! {
+                response = sender.send_request(request) => Ok(response?),
+                () = excess.cancelled() => Err(SendError::Informational),
+            }
+        };
+        let response = response.boxed();
         Ok(PendingResponse { response, connection })
     }
 }
 
+/// Returns a token that is cancelled after too many informational responses to `request`.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> CancellationToken {
+    let (excess, count) = (CancellationToken::new(), AtomicUsize::new(0));
+    let token = excess.clone();
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            excess.cancel();
+        }
+    });
+    token
+}
+
 /// A request whose response head has not arrived; the first call of `wait_head` sends it.
 pub(super) struct PendingResponse {
-    response: BoxFuture<'static, hyper::Result<Response<Incoming>>>,
+    response: BoxFuture<'static, Result<Response<Incoming>, SendError>>,
     connection: AbortOnDropHandle<()>,
 }
 
@@ -108,7 +141,7 @@
     pub(super) async fn wait_head(
         &mut self,
         limit: Duration,
-    ) -> Option<hyper::Result<Response<Incoming>>> {
+    ) -> Option<Result<Response<Incoming>, SendError>> {
         timeout(limit, &mut self.response).await.ok()
     }
 
