--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -14,6 +14,7 @@
     quarantine::{AnswerStage, PartSet},
 };
 use fulmarhead_platform::caller_response_headers;
+use fulmarhead_runtime::http::EventMemory;
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
@@ -172,6 +173,7 @@
     mut run: EventRun<Silent>,
 ) -> Result<FirstRead, Failure> {
     let begun_at = context.gateway.clock.now();
+    let mut memory = EventMemory::new(&context.gateway.bodies);
     loop {
         let Some(bytes) = read_bytes(context, target_response, begun_at).await? else {
             let rest = run.end(target_response.head.delimited);
@@ -182,6 +184,9 @@
             Ok(Pushed::Writing(run, events)) => return Ok(FirstRead::Events(run, events)),
             Err(error) => return Err(reject(context, target_response, error)),
         };
+        if memory.hold(run.held_bytes()).is_err() {
+            return Err(reject(context, target_response, EventError::NoMemory));
+        }
     }
 }
 
@@ -196,6 +201,7 @@
     run: &mut EventRun<Writing>,
 ) -> Result<NextRead, Failure> {
     let begun_at = target_response.work.begin_wait();
+    let mut memory = EventMemory::new(&context.gateway.bodies);
     loop {
         // The events before the error have been passed on.
         if let Some(error) = run.error() {
@@ -208,6 +214,9 @@
         if !events.is_empty() {
             return Ok(NextRead::Events(events));
         }
+        if memory.hold(run.held_bytes()).is_err() {
+            return Err(reject(context, target_response, EventError::NoMemory));
+        }
     }
 }
 
@@ -241,6 +250,10 @@
     let mut silence_end = last_event + context.silence_timeout();
     loop {
         let remaining = target_response.call.deadline().remaining(clock.now());
+        // A timeout does not end a stream of which more bytes are always there.
+        if remaining.is_zero() {
+            return Err(Failure::Timeout);
+        }
         let wait = silence_end.saturating_duration_since(clock.now());
         let frame = timeout(remaining.min(wait), target_response.body.frame());
         let frame = tokio::select! {
--- a/runtime/src/http/bodies/claim.rs
+++ b/runtime/src/http/bodies/claim.rs
@@ -4,13 +4,13 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     ids::BodyId,
-    limits::{BodyKind, BodyMemory, Growth},
+    limits::{BodyKind, BodyMemory, Growth, STALL_TIME},
 };
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// State that the bodies of a process share.
@@ -91,6 +91,15 @@
         self.wait(|memory| memory.grow(id, bytes, shared.clock.now())).await
     }
 
+    /// Gives the body `bytes` bytes more, if they are free now.
+    pub(super) fn try_grow(&self, bytes: usize) -> Result<(), BodyReadError> {
+        let (shared, id) = (&self.shared, self.id);
+        match self.decide(|memory| memory.grow(id, bytes, shared.clock.now())) {
+            Growth::Granted => Ok(()),
+            Growth::Refused | Growth::Wait(_) => Err(BodyReadError::NoMemory),
+        }
+    }
+
     async fn wait(&self, decide: impl Fn(&mut BodyMemory) -> Growth) -> Result<(), BodyReadError> {
         loop {
             let released = self.shared.released.notified();
@@ -105,6 +114,8 @@
             tokio::select! {
                 () = self.token.cancelled() => return Err(BodyReadError::Stalled),
                 () = released => {}
+                // Decides again, as others may be ended now for a body that has waited.
+                () = sleep(STALL_TIME) => {}
             }
         }
     }
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -4,12 +4,16 @@
 mod bodies;
 mod caller_stream;
 mod client;
+mod events;
 mod server;
 
 pub use self::{
     accept::{accept_caller, bind_callers},
-    bodies::{BodyBudget, BodyBuffer, BodyLimits, BodyReadError, HeldBody, HeldMemory},
+    bodies::{
+        BodyBudget, BodyBuffer, BodyLimits, BodyReadError, EventMemory, HeldBody, HeldMemory,
+    },
     caller_stream::CallerStream,
-    client::{Client, ClientError, Endpoint, read_body},
+    client::{CallLimits, Client, ClientError, Endpoint, read_body},
+    events::{EventReadError, EventReader},
     server::{Server, ServerSettings},
 };
