local: test the requests that are in progress when an entry or agent stops

The tests start a fleet of processes, stop the entry or an agent with SIGTERM while a request is in progress that can't end within the stop timeout, and expect a complete and true response.

Entry: requests that wait for capacity or for a target end with their connection when the process ends, also those that were refused nowhere and have not run. A stream ends without an error event. A request whose last byte arrives after the drain time is taken and ends the same way, and so does one on a connection that the kernel accepted after that time.

Agent: its stop timeout passes twice, once for the drain and once for the open connections. A caller whose order is at an agent that stops waits until its deadline, because the entry keeps asking the agent that has ended.

--- a/local/tests/processes/main.rs
+++ b/local/tests/processes/main.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod partition;
 mod shutdown;
+mod stop;
 mod streams;
 mod support;
 mod whole_path;
--- a/testutils/src/process/mod.rs
+++ b/testutils/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod addresses;
 mod caller;
 mod child;
+mod connection;
 mod crowd;
 mod document;
 mod fleet;
@@ -21,6 +22,7 @@
     addresses::AddressAllocator,
     caller::{Caller, CallerError, Event, EventStream, FullResponse},
     child::{Process, ProcessError, Signal},
+    connection::{RawConnection, Received},
     crowd::{Crowd, CrowdPlan, Framing},
     document::{APPLICATION, MODEL, TOKEN},
     fleet::{Fleet, FleetError},
