entry: answer requests in progress before the process ends

After the drain time the tree waits for the requests in progress, and when the stop timeout has passed the process ends with them, whatever they wait for: the rest of their body, capacity, a target that has not answered, or the rest of a response that is collected. None of their callers learned whether the request had run. The gateway had the same fault.

Streams get an error event and end. The times come from the schedule that the gateway uses.

--- a/entry/src/callers/body.rs
+++ b/entry/src/callers/body.rs
@@ -20,15 +20,22 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal if the body is too large, takes too long, can't be read, or there is no memory
-/// for it.
+/// Returns a refusal if the body is too large, takes too long, can't be read, there is no memory for
+/// it, or the entry is about to end.
 pub(crate) async fn read(
     entry: &Entry,
     body: Body,
     limits: BodyLimits,
 ) -> Result<HeldBody, Refusal> {
     let limits = BodyLimits { time: limits.time.min(BODY_TIMEOUT), ..limits };
-    entry.bodies.read_request(body, limits).await.map_err(|error| match error {
+    let result = tokio::select! {
+        biased;
+        result = entry.bodies.read_request(body, limits) => result,
+        () = entry.end_requests.cancelled() => {
+            return Err(Refusal::not_run(Reason::ShuttingDown));
+        }
+    };
+    result.map_err(|error| match error {
         BodyReadError::TooLarge => Refusal::not_run(Reason::BodyTooLarge),
         BodyReadError::NoMemory => {
             Refusal::not_run(Reason::NoBodyMemory).with_retry_after(MEMORY_RETRY_DELAY)
--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -45,7 +45,7 @@
     pub(crate) fleet: Arc<Fleet>,
 }
 
-/// Runs a call until it is answered or refused, or its deadline passes.
+/// Runs a call until it is answered or refused, its deadline passes, or the entry is about to end.
 ///
 /// # Errors
 ///
@@ -63,11 +63,18 @@
             None => call_any_worker(entry, &mut request, &call).await,
         }
     };
-    match timeout_at(deadline.into(), run).await {
-        Ok(result) => result,
-        // An earlier call with the same key, sent by another entry, may have run.
-        Err(_) if call.key.is_some() => Err(Refusal::unknown(Reason::DeadlineExceeded)),
-        Err(_) => Err(request.timeout_refusal()),
+    let result = tokio::select! {
+        biased;
+        result = timeout_at(deadline.into(), run) => Some(result),
+        () = entry.end_requests.cancelled() => None,
+    };
+    // An earlier call with the same key, sent by another entry, may have run.
+    match result {
+        Some(Ok(result)) => result,
+        Some(Err(_)) if call.key.is_some() => Err(Refusal::unknown(Reason::DeadlineExceeded)),
+        Some(Err(_)) => Err(request.timeout_refusal()),
+        None if call.key.is_some() => Err(Refusal::unknown(Reason::Interrupted)),
+        None => Err(request.stop_refusal()),
     }
 }
 
--- a/entry/src/dispatch/completion.rs
+++ b/entry/src/dispatch/completion.rs
@@ -82,14 +82,21 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the deadline passes, or if the request fails and may not be retried.
+    /// Returns a refusal if the deadline passes, the entry is about to end, or the request fails and
+    /// may not be retried.
     pub(crate) async fn next(&mut self) -> Result<StreamItem, Refusal> {
+        let entry = Arc::clone(&self.entry);
         let deadline = self.request.deadline.instant();
-        let result = match timeout_at(deadline.into(), self.receive()).await {
-            Ok(result) => result,
-            Err(_) => Err(self.request.timeout_refusal()),
+        let result = tokio::select! {
+            biased;
+            result = timeout_at(deadline.into(), self.receive()) => Some(result),
+            () = entry.end_requests.cancelled() => None,
+        };
+        let result = match result {
+            Some(Ok(result)) => result.map_err(|refusal| self.correct_outcome(refusal)),
+            Some(Err(_)) => Err(self.correct_outcome(self.request.timeout_refusal())),
+            None => Err(self.stop_refusal()),
         };
-        let result = result.map_err(|refusal| self.correct_outcome(refusal));
         self.record_result(&result);
         result
     }
@@ -102,6 +109,15 @@
         }
     }
 
+    /// Returns the refusal if the entry ends before the response.
+    fn stop_refusal(&self) -> Refusal {
+        // A caller that resumes its stream has received a part of it.
+        match self.possibly_run || self.request.attempt().position > 0 {
+            true => Refusal::failed(Reason::Interrupted),
+            false => self.request.stop_refusal(),
+        }
+    }
+
     /// Returns the identifier of the event for `item`, the item that was returned last.
     pub(crate) fn event_id(&self, item: &StreamItem) -> EventId {
         let target = self
--- a/entry/src/dump.rs
+++ b/entry/src/dump.rs
@@ -20,7 +20,7 @@
             "prefix_affinity": self.settings.affinity,
             "revision": state.config.revision(),
             "config_error": state.config.last_error().map(ToString::to_string),
-            "stopping": state.stopping,
+            "stopping": state.stop.is_some(),
             "targets": targets,
         })
     }
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -5,6 +5,7 @@
     clock::SharedClock,
     config::{ActiveConfig, Adoption, Bundle, Fleet},
     cost::Cost,
+    forward::StopSchedule,
     ids::{LeaseId, ModelId, Revision, TargetId},
     limits::{PrefillLimiter, RetryBudget, RetrySettings, TeamLimiter},
     outcome::{Reason, Refusal},
@@ -15,7 +16,7 @@
     work::decode_load,
 };
 use hyper::HeaderMap;
-use log::{error, info};
+use log::{error, info, warn};
 use std::{
     collections::{BTreeMap, BTreeSet},
     future::pending,
@@ -26,6 +27,7 @@
     sync::{mpsc, watch},
     time::sleep,
 };
+use tokio_util::sync::CancellationToken;
 
 /// Time between two checks whether an agent still reports.
 const LOST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -47,6 +49,8 @@
     /// Active revision, 0 before the first configuration; wakes the tasks that wait for a new one.
     pub(crate) revision: watch::Sender<Revision>,
     pub(crate) lease_releases: mpsc::Sender<LeaseRelease>,
+    /// Cancelled when requests in progress have to end, because the process does.
+    pub(crate) end_requests: CancellationToken,
     state: Mutex<EntryState>,
 }
 
@@ -59,7 +63,8 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) prefixes: Prefixes,
     pub(crate) models: BTreeMap<ModelId, ModelState>,
-    pub(crate) stopping: bool,
+    /// Times of the stop, once it has begun.
+    pub(crate) stop: Option<StopSchedule>,
 }
 
 /// Waiting prompts and prefill limit of one model.
@@ -103,7 +108,7 @@
             retry_budget: RetryBudget::new(RetrySettings::default()),
             prefixes: Prefixes::new(settings.affinity),
             models: BTreeMap::new(),
-            stopping: false,
+            stop: None,
         };
         let (lease_releases, queue) = mpsc::channel(RELEASE_QUEUE_CAPACITY);
         let entry = Self {
@@ -113,6 +118,7 @@
             client: Client::default(),
             revision: watch::Sender::new(0),
             lease_releases,
+            end_requests: CancellationToken::new(),
             state: Mutex::new(state),
         };
         (Arc::new(entry), LeaseReleaseQueue(Arc::new(tokio::sync::Mutex::new(queue))))
@@ -199,9 +205,18 @@
         }
     }
 
-    /// Records that the entry is stopping, for the state dump.
-    pub(crate) fn begin_stop(&self) {
-        self.state().stopping = true;
+    /// Records that the stop of the entry has begun, and returns its times.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let Settings { drain_time, stop_timeout, .. } = self.settings;
+        let schedule = StopSchedule::with_delays(self.clock.now(), drain_time, stop_timeout);
+        self.state().stop = Some(schedule);
+        schedule
+    }
+
+    /// Ends the requests that are still in progress, since the process is about to end.
+    pub(crate) fn end_requests(&self) {
+        warn!("stop timeout has passed; ending the requests that are still in progress");
+        self.end_requests.cancel();
     }
 
     /// Queues leases for release. If the queue is full, they expire at the agent instead.
--- a/entry/src/tree.rs
+++ b/entry/src/tree.rs
@@ -94,10 +94,12 @@
         }
         () = shutdown.cancelled() => starting.drain(),
     };
-    entry.begin_stop();
+    let schedule = entry.begin_stop();
     // The load balancer sends new requests until it detects that the entry is not ready.
     sleep(entry.settings.drain_time).await;
     draining.stop(stop);
+    sleep(schedule.remaining(entry.clock.now())).await;
+    entry.end_requests();
     pending().await
 }
 
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -1,4 +1,4 @@
-//! Which requests an entry still takes while it stops.
+//! Which requests an entry still takes while it stops, and when it ends those in progress.
 
 use crate::{request::Deadline, routes::RetryPolicy};
 use std::time::{Duration, Instant};
@@ -26,10 +26,14 @@
     /// Returns the schedule of a stop that begins at `now`, of a process that is killed after
     /// `grace`.
     pub fn new(now: Instant, grace: Duration) -> Self {
-        Self {
-            deregistered_at: now + DEREGISTRATION_DELAY,
-            ends_at: now + DEREGISTRATION_DELAY + Self::end_delay(grace),
-        }
+        Self::with_delays(now, DEREGISTRATION_DELAY, Self::abort_delay(grace))
+    }
+
+    /// Returns the schedule of a stop that begins at `now`. New connections are accepted for
+    /// `drain_time`, and those that are still open are aborted `abort_delay` after that.
+    pub fn with_delays(now: Instant, drain_time: Duration, abort_delay: Duration) -> Self {
+        let deregistered_at = now + drain_time;
+        Self { deregistered_at, ends_at: deregistered_at + abort_delay.saturating_sub(END_MARGIN) }
     }
 
     /// Returns the time after [`DEREGISTRATION_DELAY`] until connections are aborted.
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -103,6 +103,8 @@
     OutOfService,
     /// The process is shutting down.
     ShuttingDown,
+    /// The process is about to end, and the request was still in progress.
+    Interrupted,
     /// The engine memory for the request could not be reserved.
     NoMemory,
     /// The lease on engine memory has expired or is unknown.
@@ -138,7 +140,10 @@
             Self::WrongTarget => 421,
             Self::KeyReused => 422,
             Self::TeamLimit => 429,
-            Self::TargetFailed | Self::KeyOwnerGone | Self::KeyOwnerUnreachable => 502,
+            Self::TargetFailed
+            | Self::Interrupted
+            | Self::KeyOwnerGone
+            | Self::KeyOwnerUnreachable => 502,
             Self::DeadlineUnreachable | Self::DeadlineExceeded => 504,
             Self::LedgerFull
             | Self::NoBodyMemory
@@ -162,6 +167,7 @@
                 | Self::ColdStart
                 | Self::OutOfService
                 | Self::ShuttingDown
+                | Self::Interrupted
                 | Self::NoMemory
                 | Self::LeaseExpired
                 | Self::NoConfiguration
--- a/lib/src/request/lifecycle.rs
+++ b/lib/src/request/lifecycle.rs
@@ -93,10 +93,25 @@
 
     /// Returns the refusal for a request whose deadline has passed, with whether it may have run.
     pub fn timeout_refusal(&self) -> Refusal {
-        match (self.state.attempt_may_run, self.state.retry_safe) {
-            (false, _) => Refusal::not_run(Reason::DeadlineExceeded),
-            (true, true) => Refusal::failed(Reason::DeadlineExceeded),
-            (true, false) => Refusal::unknown(Reason::DeadlineExceeded),
+        match self.state.attempt_may_run {
+            false => Refusal::not_run(Reason::DeadlineExceeded),
+            true => self.lost_refusal(Reason::DeadlineExceeded),
+        }
+    }
+
+    /// Returns the refusal for a request that ends because its process does, with whether it may have
+    /// run.
+    pub fn stop_refusal(&self) -> Refusal {
+        match self.state.attempt_may_run {
+            false => Refusal::not_run(Reason::ShuttingDown),
+            true => self.lost_refusal(Reason::Interrupted),
+        }
+    }
+
+    fn lost_refusal(&self, reason: Reason) -> Refusal {
+        match self.state.retry_safe {
+            true => Refusal::failed(reason),
+            false => Refusal::unknown(reason),
         }
     }
 }
