entry: refuse requests that arrive late in a stop and might not end in time

After the drain time the HTTP library closes idle connections, but one in the middle of a request is left to finish it whenever the rest arrives.

A request whose body has arrived completely is now compared with the stop: from the end of the drain time on it is taken only if its deadline passes before requests are ended, else it is refused at once as not run (shutting_down). The rule is StopSchedule::admits, as at the gateway.

--- a/entry/src/callers/applications.rs
+++ b/entry/src/callers/applications.rs
@@ -80,6 +80,7 @@
     let remaining = caller.deadline.remaining(entry.clock.now());
     let limits = BodyLimits { bytes: caller.fleet.bounds.max_body, time: remaining, copies: 1 };
     let body = body::read(entry, body, limits).await?.into_bytes();
+    entry.check_stop(caller.deadline)?;
     let request = Request::new(id, caller.team.id.clone(), Cost::default(), caller.deadline);
     // The cursor starts at the first attempt and position 0.
     let request = request.admit(Cursor::new(1, 0), key.is_none());
--- a/entry/src/callers/completions.rs
+++ b/entry/src/callers/completions.rs
@@ -81,6 +81,7 @@
     let bytes = caller.fleet.bounds.max_body;
     let limits = BodyLimits { bytes, time: remaining, copies: PROMPT_COPIES };
     let (body, memory) = body::read(entry, body, limits).await?.into_parts();
+    entry.check_stop(caller.deadline)?;
     let (mut prompt, streamed) = parse(kind, &body)?;
     drop(body);
     // All attempts use the same seed, so that a new attempt continues the text of an earlier one.
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -9,6 +9,8 @@
     ids::{LeaseId, ModelId, Revision, TargetId},
     limits::{PrefillLimiter, RetryBudget, RetrySettings, TeamLimiter},
     outcome::{Reason, Refusal},
+    request::Deadline,
+    routes::RetryPolicy,
     routing::{Backlog, Router, RouterSettings},
 };
 use fulmarhead_runtime::{
@@ -213,6 +215,23 @@
         schedule
     }
 
+    /// Checks whether a request that has arrived completely is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the load balancer no longer sends requests to this entry, and the entry
+    /// might end before `deadline`.
+    pub(crate) fn check_stop(&self, deadline: Deadline) -> Result<(), Refusal> {
+        // A call that may not run twice has a key, with which its caller can repeat it.
+        let retry_policy = RetryPolicy::Always;
+        match self.state().stop {
+            Some(stop) if !stop.admits(retry_policy, deadline, self.clock.now()) => {
+                Err(Refusal::not_run(Reason::ShuttingDown))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Ends the requests that are still in progress, since the process is about to end.
     pub(crate) fn end_requests(&self) {
         warn!("stop timeout has passed; ending the requests that are still in progress");
