entry: refuse waiting prompts that can't be served before the stop ends them

A caller whose prompt waited for an engine at a stopping entry was held until the end of the stop, also if no engine could begin it by then. It could have gone to another entry seconds earlier.

While the entry stops, the checks of the router (whether any engine could prefill the prompt in time) and of the backlog (whether its wait is too long) are made a second time with the time until the stop as the time limit. A prompt that only fails these is refused as not run (shutting_down). Routing and priorities go by the deadline as before.

--- a/entry/src/dispatch/search.rs
+++ b/entry/src/dispatch/search.rs
@@ -8,11 +8,12 @@
 use fulmarhead_lib::{
     admission::short_prompt_reserve,
     cost::{Cost, LengthClass},
+    forward::StopSchedule,
     ids::{ModelId, TargetId, Tokens},
     limits::usable_rate,
-    outcome::Refusal,
+    outcome::{Reason, Refusal},
     request::{Admitted, Request},
-    routing::{Capacity, Decision, PrefixHashes, Query, RequestProfile, Service},
+    routing::{Capacity, Decision, PrefixHashes, Query, RequestProfile, Service, is_unreachable},
 };
 use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
@@ -105,7 +106,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the request can't be answered in time or would wait too long.
+    /// Returns a refusal if the request can't be answered in time, also because this entry ends
+    /// before, or would wait too long.
     pub(super) fn choose_destination(
         &mut self,
         entry: &Arc<Entry>,
@@ -116,6 +118,7 @@
         let now = entry.clock.now();
         let profile = self.profile(request, now);
         let mut state = entry.state();
+        let profiles = Profiles::new(profile, state.stop, now);
         let capacity = state.targets.directory.capacity(&self.service, now);
         let rate = capacity.rate / call.fleet.entries.len().max(1) as u64;
         let usable = usable_rate(rate, call.fleet.policy.zone_reserve, capacity.zone_missing);
@@ -128,10 +131,13 @@
             self.sent = None;
             return Ok(Some(Destination::MultipleEngines));
         }
-        let destination =
-            if self.reserve_granted { self.decide(&mut state, profile, tried, now)? } else { None };
+        let destination = if self.reserve_granted {
+            self.decide(&mut state, profiles, tried, now)?
+        } else {
+            None
+        };
         if destination.is_none() && capacity.rate > 0 {
-            self.count_in_backlog(entry, &mut state, profile, call, rate)?;
+            self.count_in_backlog(entry, &mut state, profiles, call, rate)?;
         }
         Ok(destination)
     }
@@ -140,10 +146,11 @@
     fn decide(
         &mut self,
         state: &mut EntryState,
-        profile: RequestProfile,
+        profiles: Profiles,
         tried: &BTreeSet<TargetId>,
         now: Instant,
     ) -> Result<Option<Destination>, Refusal> {
+        let profile = profiles.by_deadline;
         let class = profile.cost.class();
         let query = Query { service: &self.service, class, tried, seed: self.seed, now };
         let directory = &state.targets.directory;
@@ -154,13 +161,14 @@
         // is less than one slot uses the target some of the time.
         let draw = self.seed ^ profile.remaining.as_nanos() as u64;
         match state.router.decide(profile, &candidates, draw) {
+            Decision::Refuse(refusal) => Err(refusal),
+            _ if is_unreachable(profiles.by_stop, &candidates) => Err(stop_refusal()),
             Decision::Send(candidate) => {
                 let hit = hits.remove(&candidate.target);
                 self.sent = Some(SentPrompt::new(candidate, hit, profile.cost, now));
                 Ok(Some(Destination::OneEngine(candidate.target.clone())))
             }
             Decision::Wait => Ok(None),
-            Decision::Refuse(refusal) => Err(refusal),
         }
     }
 
@@ -170,12 +178,14 @@
         &mut self,
         entry: &Arc<Entry>,
         state: &mut EntryState,
-        profile: RequestProfile,
+        profiles: Profiles,
         call: &PromptCall,
         rate: Tokens,
     ) -> Result<(), Refusal> {
+        let profile = profiles.by_deadline;
         let backlog = &mut state.models.entry(call.prompt.model.clone()).or_default().backlog;
         backlog.check(profile, rate)?;
+        backlog.check(profiles.by_stop, rate).map_err(|_| stop_refusal())?;
         if self.backlog_guard.is_none() {
             backlog.add(profile.cost);
             let (entry, model) = (Arc::clone(entry), call.prompt.model.clone());
@@ -185,6 +195,26 @@
     }
 }
 
+/// A request's profile by its deadline, and by the stop of this entry if that comes first.
+#[derive(Clone, Copy, Debug)]
+struct Profiles {
+    by_deadline: RequestProfile,
+    by_stop: RequestProfile,
+}
+
+impl Profiles {
+    fn new(profile: RequestProfile, stop: Option<StopSchedule>, now: Instant) -> Self {
+        let remaining =
+            stop.map_or(profile.remaining, |stop| stop.remaining(now).min(profile.remaining));
+        Self { by_deadline: profile, by_stop: RequestProfile { remaining, ..profile } }
+    }
+}
+
+/// Returns the refusal of a prompt that no target can serve before this entry ends.
+fn stop_refusal() -> Refusal {
+    Refusal::not_run(Reason::ShuttingDown)
+}
+
 /// Returns whether a prompt needs more KV cache than its length class may use at one engine.
 ///
 /// Medium and long prompts may not use the part that is reserved for short ones.
--- a/lib/src/routing/mod.rs
+++ b/lib/src/routing/mod.rs
@@ -17,6 +17,6 @@
     directory::{Capacity, Directory, Query, Service},
     policy::{AffinityKind, PolicyKind},
     prefix_caches::{Hit, PrefixCaches},
-    router::{Decision, Router, RouterSettings},
+    router::{Decision, Router, RouterSettings, is_unreachable},
     urgency::{RequestProfile, is_aged},
 };
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -96,8 +96,8 @@
         candidates: &'a [Candidate],
         draw: u64,
     ) -> Decision<'a> {
-        if let Some(refusal) = check_deadline(profile, candidates) {
-            return Decision::Refuse(refusal);
+        if is_unreachable(profile, candidates) {
+            return Decision::Refuse(Refusal::not_run(Reason::DeadlineUnreachable));
         }
         let largest_cap = candidates.iter().map(|candidate| candidate.load.cap).max().unwrap_or(0);
         let fitting = candidates.iter().enumerate().filter(|(index, candidate)| {
@@ -172,18 +172,17 @@
     Cost::prefill_time(ahead + behind + uncached, candidate.load.prefill_rate)
 }
 
-/// Returns a refusal if no engine could prefill the prompt within its time limit, even with an
-/// empty queue.
-fn check_deadline(profile: RequestProfile, candidates: &[Candidate]) -> Option<Refusal> {
+/// Returns whether no engine could prefill the prompt within its time limit, even with an empty
+/// queue.
+pub fn is_unreachable(profile: RequestProfile, candidates: &[Candidate]) -> bool {
     if profile.cost.prompt == 0 {
-        return None;
+        return false;
     }
     let prefill_times = candidates.iter().map(|candidate| {
         let uncached = profile.cost.prompt.saturating_sub(candidate.cached_tokens);
         Cost::prefill_time(uncached, candidate.load.prefill_rate)
     });
-    let too_late = prefill_times.min().is_some_and(|shortest| shortest > profile.remaining);
-    too_late.then(|| Refusal::not_run(Reason::DeadlineUnreachable))
+    prefill_times.min().is_some_and(|shortest| shortest > profile.remaining)
 }
 
 /// Decides about a request that fits no candidate.
--- a/local/tests/processes/stop.rs
+++ b/local/tests/processes/stop.rs
@@ -54,6 +54,8 @@
     Body,
     /// An engine with memory and time for its prompt.
     Capacity,
+    /// An engine in service.
+    Engine,
     /// The first token of a response that is collected.
     FirstToken,
     /// The first event of a stream.
@@ -77,6 +79,7 @@
                 text[..text.len() - 1].to_owned()
             }
             Self::Capacity => completion(LONG_PROMPT, 1, false),
+            Self::Engine => completion(100, 1, false),
             Self::FirstToken => completion(MEDIUM_PROMPT, 1, false),
             Self::FirstEvent => completion(MEDIUM_PROMPT, 1, true),
             Self::LastToken => completion(10, LONG_OUTPUT, false),
@@ -139,11 +142,17 @@
         Pending::Capacity => Some(send(&fleet, &completion(LONG_PROMPT, 1, false)).await),
         _ => None,
     };
+    if pending == Pending::Engine {
+        let revision = fleet.publish(|fleet| fleet.targets[0].departing = true).await.unwrap();
+        fleet.wait_revision(&["entry-1", "engine-1"], revision).await.unwrap();
+    }
     let mut connection = send(&fleet, &pending.request(&fleet).await).await;
     let entry = fleet.process("entry-1");
     entry.signal(Signal::TERM).unwrap();
+    let stopped_at = Instant::now();
     let response = connection.read().await;
-    entry.wait(PROMPT_LIMIT).await.unwrap();
+    let end_limit = DRAIN_TIME + STOP_TIMEOUT + PROMPT_LIMIT;
+    entry.wait(end_limit.saturating_sub(stopped_at.elapsed())).await.unwrap();
     response
 }
 
@@ -161,8 +170,9 @@
         /// Guards against a caller that is not told that its request has not run, because its body
         /// was not complete when the entry ended.
         entry_waits_for_body: (Pending::Body, 503, "not_run"),
-        /// The same for a prompt that waits for capacity.
+        /// The same for a prompt that no engine can take.
         entry_waits_for_capacity: (Pending::Capacity, 503, "not_run"),
+        entry_waits_for_engine: (Pending::Engine, 503, "not_run"),
         /// Guards against a request that gets no response because its target has not answered when
         /// the entry ends.
         entry_waits_for_first_token: (Pending::FirstToken, 502, "failed"),
