runtime: serve connections that come late in a stop

After the drain time an entry accepted no connections, but its listener stayed open while requests were in progress, and the kernel went on to accept them. A caller that came then sent its request and saw the connection end with the process, without a response. All servers of runtime::http::Server had this, so that of the agents for work as well; the gateway's has its own fix.

The server now goes on to accept connections until the open ones have finished. A request on a late connection is taken or refused by the rule for late requests, and a connection without a request is closed after 200 ms, so that it does not keep the process running.

--- a/gateway/src/serve/listener.rs
+++ b/gateway/src/serve/listener.rs
@@ -4,27 +4,20 @@
 use crate::gateway::Gateway;
 use fulmarhead_lib::limits::connection_limit;
 use fulmarhead_runtime::{
-    http::{CallerStream, accept_caller},
+    http::{CallerStream, accept_caller, serve_late},
     supervisor::{Connections, TaskResult},
 };
 use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
-use std::{sync::Arc, time::Duration};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
-use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// Maximum number of open connections from callers. Each request needs one more file descriptor,
 /// and the process has at least 4,000.
 const MAX_CONNECTIONS: usize = 1_500;
 
-/// Time after which a connection that was accepted late in the stop is closed unless a request has
-/// begun, several round trips.
-const LATE_IDLE_TIME: Duration = Duration::from_millis(200);
-
 /// Smallest read buffer for request headers that hyper accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 
@@ -72,25 +65,12 @@
             accept_caller(&self.connections, &self.listener, &gateway.bodies, &never).await
         {
             let gateway = Arc::clone(gateway);
-            self.connections.spawn(permit, |_| serve_late(gateway, stream));
+            let serve = |stop| serve_connection(gateway, stream, stop);
+            self.connections.spawn(permit, |_| serve_late(serve));
         }
     }
 }
 
-/// Serves a connection that was accepted late in the stop. It closes if no request comes soon, and
-/// else with the response.
-async fn serve_late(gateway: Arc<Gateway>, stream: TcpStream) {
-    let stop = CancellationToken::new();
-    let _timer = AbortOnDropHandle::new(tokio::spawn({
-        let stop = stop.clone();
-        async move {
-            sleep(LATE_IDLE_TIME).await;
-            stop.cancel();
-        }
-    }));
-    serve_connection(gateway, stream, stop).await;
-}
-
 async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, stop: CancellationToken) {
     // Events are small, and each must be sent immediately.
     if let Err(error) = stream.set_nodelay(true) {
--- a/runtime/src/http/accept.rs
+++ b/runtime/src/http/accept.rs
@@ -4,12 +4,12 @@
 use crate::supervisor::{ConnectionPermit, Connections};
 use fulmarhead_lib::limits::STALL_TIME;
 use log::info;
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     time::sleep,
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 /// Share of the memory of a process that the receive buffers of its connections may take.
 const RECEIVE_SHARE: f64 = 0.3;
@@ -24,6 +24,10 @@
 /// Number of new connections that the kernel holds until they are accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Time after which a connection that was accepted late in the stop is closed unless a request has
+/// begun, several round trips.
+const LATE_IDLE_TIME: Duration = Duration::from_millis(200);
+
 /// Binds the address for callers of a process that may use `process_bytes` bytes of memory and
 /// accepts `max_connections` connections.
 ///
@@ -74,3 +78,22 @@
         }
     }
 }
+
+/// Serves a connection that was accepted late in the stop. The token for `serve`, on which it shuts
+/// down gracefully, is cancelled soon, so that the connection closes if no request comes, and else
+/// with the response.
+pub async fn serve_late<F, Fut>(serve: F)
+where
+    F: FnOnce(CancellationToken) -> Fut,
+    Fut: Future<Output = ()>,
+{
+    let stop = CancellationToken::new();
+    let _timer = AbortOnDropHandle::new(tokio::spawn({
+        let stop = stop.clone();
+        async move {
+            sleep(LATE_IDLE_TIME).await;
+            stop.cancel();
+        }
+    }));
+    serve(stop).await;
+}
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub use self::{
-    accept::{accept_caller, bind_callers},
+    accept::{accept_caller, bind_callers, serve_late},
     bodies::{BodyBudget, BodyBuffer, BodyLimits, BodyReadError, HeldBody, HeldMemory},
     caller_stream::CallerStream,
     client::{Client, ClientError, Endpoint, read_body},
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 and HTTP/2 server with one task per connection.
 
-use super::{accept::accept_caller, bodies::BodyBudget, caller_stream::CallerStream};
+use super::{
+    accept::{accept_caller, serve_late},
+    bodies::BodyBudget,
+    caller_stream::CallerStream,
+};
 use crate::supervisor::{ConnectionPermit, Connections, TaskResult};
 use axum::Router;
 use hyper_util::{
@@ -72,15 +76,30 @@
         Self { bodies: Some(bodies), ..self }
     }
 
-    /// Serves connections until `stop` is cancelled, then shuts down the open ones gracefully.
+    /// Serves connections until `stop` is cancelled, then shuts down the open ones gracefully and
+    /// waits for their end.
     pub async fn run(self, stop: CancellationToken) -> TaskResult {
         while let Some((permit, stream)) = self.accept(&stop).await {
-            self.connections.spawn(permit, |stop| self.serve(stream, stop));
+            self.connections.spawn(permit, |stop| self.clone().serve(stream, stop));
+        }
+        tokio::select! {
+            () = self.connections.finish() => {}
+            () = self.accept_late() => {}
         }
-        self.connections.finish().await;
         Ok(())
     }
 
+    /// Accepts connections while the open ones finish. The kernel would accept them all the same, and
+    /// their clients would wait for the end of the process.
+    async fn accept_late(&self) {
+        let never = CancellationToken::new();
+        while let Some((permit, stream)) = self.accept(&never).await {
+            let server = self.clone();
+            let serve = move |stop| server.serve(stream, stop);
+            self.connections.spawn(permit, |_| serve_late(serve));
+        }
+    }
+
     async fn accept(&self, stop: &CancellationToken) -> Option<(ConnectionPermit, TcpStream)> {
         match &self.bodies {
             Some(bodies) => accept_caller(&self.connections, &self.listener, bodies, stop).await,
@@ -88,30 +107,22 @@
         }
     }
 
-    fn serve(
-        &self,
-        stream: TcpStream,
-        stop: CancellationToken,
-    ) -> impl Future<Output = ()> + Send + 'static {
-        let builder = self.builder.clone();
-        let service = TowerToHyperService::new(self.router.clone());
-        let write_timeout = self.write_timeout;
-        async move {
-            // Streamed tokens are small and must be sent without delay.
-            let _ = stream.set_nodelay(true);
-            let stream = TokioIo::new(CallerStream::new(stream, write_timeout));
-            let connection = builder.serve_connection(stream, service);
-            tokio::pin!(connection);
-            let result = tokio::select! {
-                result = connection.as_mut() => result,
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.as_mut().await
-                }
-            };
-            if let Err(error) = result {
-                debug!(error:%; "connection failed");
+    async fn serve(self, stream: TcpStream, stop: CancellationToken) {
+        let service = TowerToHyperService::new(self.router);
+        // Streamed tokens are small and must be sent without delay.
+        let _ = stream.set_nodelay(true);
+        let stream = TokioIo::new(CallerStream::new(stream, self.write_timeout));
+        let connection = self.builder.serve_connection(stream, service);
+        tokio::pin!(connection);
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            () = stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
             }
+        };
+        if let Err(error) = result {
+            debug!(error:%; "connection failed");
         }
     }
 }
