agent: end running work shortly before the process ends

An agent that was stopped while its target worked for longer than the stop timeout waited for that time twice, once in its drain and once for the open connections of the tree, and then ended with its work. An entry that had an order there saw a lost connection, which says nothing about the order, and asked the ended agent for the result until the deadline, so that the caller waited as long.

250 ms before the stop timeout has passed, the agent now ends all work by the paths that a deadline or a lost target takes: attempts and calls without a key are answered as failed, calls with a key as unknown, both with the reason interrupted, and streams break off. Entries send prompts and repeatable calls to other targets, as after a lost connection, and tell the caller of an order at once.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -6,6 +6,7 @@
     clock::{MonotonicWallClock, SharedClock},
     config::{ActiveConfig, Adoption, Bundle},
     control::{Load, Progress, Report},
+    forward::StopSchedule,
     ids::{Incarnation, LeaseId, RequestId, Revision, Tokens},
     keys::{KeyLedger, KeySettings},
     lease::{LeaseLedger, LeaseSettings},
@@ -27,6 +28,7 @@
     sync::{mpsc, watch},
     time::{sleep, timeout},
 };
+use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
 /// Maximum number of cleanups that wait to be sent to the engine.
@@ -65,6 +67,8 @@
     pub(crate) settled_keys: watch::Sender<u64>,
     /// Whether so many readings of the target failed that its running work counts as lost.
     pub(crate) target_lost: watch::Sender<bool>,
+    /// Cancelled when running work has to end, because the process does.
+    pub(crate) end_work: CancellationToken,
     pub(crate) cleanups: mpsc::Sender<Cleanup>,
     keyed_calls: Connections,
     state: Mutex<AgentState>,
@@ -132,6 +136,7 @@
             ready: watch::Sender::new(false),
             settled_keys: watch::Sender::new(0),
             target_lost: watch::Sender::new(false),
+            end_work: CancellationToken::new(),
             cleanups,
             keyed_calls: Connections::new(MAX_KEYED_CALLS),
             state: Mutex::new(state),
@@ -206,7 +211,8 @@
         self.keyed_calls.spawn_queued(call);
     }
 
-    /// Waits until no work is running, at most for the stop timeout.
+    /// Waits until no work is running, and ends what still runs shortly before the stop timeout has
+    /// passed, so that the entries get responses.
     ///
     /// The server stays open in the meantime, so that new work is refused instead of getting no
     /// response.
@@ -217,12 +223,12 @@
                 sleep(DRAIN_CHECK_INTERVAL).await;
             }
         };
-        if timeout(self.settings.stop_timeout, idle).await.is_err() {
+        let now = self.clock.now();
+        let schedule = StopSchedule::with_delays(now, Duration::ZERO, self.settings.stop_timeout);
+        if timeout(schedule.remaining(now), idle).await.is_err() {
             let running = self.state().admission.running();
-            warn!(
-                running;
-                "work is still running after the stop timeout; stopping anyway"
-            );
+            warn!(running; "work is still running after the stop timeout; ending it");
+            self.end_work.cancel();
         }
     }
 
--- a/agent/src/work/applications.rs
+++ b/agent/src/work/applications.rs
@@ -101,7 +101,13 @@
     call: Call,
 ) -> Result<Response, RefusalResponse> {
     let mut permit = admit(agent, work)?;
-    match send(agent, &call).await {
+    let result = tokio::select! {
+        result = send(agent, &call) => result,
+        () = agent.end_work.cancelled() => {
+            return Err(Refusal::failed(Reason::Interrupted).into());
+        }
+    };
+    match result {
         Ok(answer) => {
             permit.record_finished();
             Ok(answer_response(answer))
@@ -225,7 +231,7 @@
     }
 }
 
-/// Waits for the result of the call with `key`, until the deadline at most.
+/// Waits for the result of the call with `key`, at most until the deadline or the end of the process.
 async fn wait_for_result(
     agent: &Arc<Agent>,
     key: &IdempotencyKey,
@@ -239,12 +245,17 @@
                 return result.map(answer_response);
             }
             if settled.changed().await.is_err() {
-                return Err(Refusal::unknown(Reason::ShuttingDown));
+                return Err(Refusal::unknown(Reason::Interrupted));
             }
         }
     };
-    let result = timeout_at(deadline.instant().into(), settled_result).await;
-    let result = result.unwrap_or(Err(Refusal::unknown(Reason::KeyInProgress)));
+    let result = tokio::select! {
+        biased;
+        result = timeout_at(deadline.instant().into(), settled_result) => {
+            result.unwrap_or(Err(Refusal::unknown(Reason::KeyInProgress)))
+        }
+        () = agent.end_work.cancelled() => Err(Refusal::unknown(Reason::Interrupted)),
+    };
     result.map_err(RefusalResponse)
 }
 
--- a/agent/src/work/body.rs
+++ b/agent/src/work/body.rs
@@ -108,7 +108,8 @@
     }
 }
 
-/// Returns a body that streams `engine_body` until its end, the deadline or the loss of the target.
+/// Returns a body that streams `engine_body` until its end, the deadline, the loss of the target or
+/// the end of the process.
 pub(crate) fn forward(engine_body: Incoming, permit: Permit, deadline: Deadline) -> Body {
     Body::from_stream(data_frames(engine_body, permit, deadline))
 }
@@ -127,6 +128,9 @@
                     permit.record_failed();
                     return Some((Err(io::ErrorKind::ConnectionReset.into()), None));
                 }
+                () = permit.agent.end_work.cancelled() => {
+                    return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
+                }
             };
             return match frame {
                 Err(_) => Some((Err(io::ErrorKind::TimedOut.into()), None)),
--- a/agent/src/work/completions.rs
+++ b/agent/src/work/completions.rs
@@ -116,6 +116,11 @@
             permit.record_failed();
             return Err(Refusal::failed(Reason::TargetFailed).into());
         }
+        () = agent.end_work.cancelled() => {
+            let refusal = Refusal::failed(Reason::Interrupted);
+            log_refusal(work.request, work.attempt, &refusal);
+            return Err(refusal.into());
+        }
     };
     let engine_response = match result {
         Ok(Ok(engine_response)) => engine_response,
--- a/local/tests/processes/stop.rs
+++ b/local/tests/processes/stop.rs
@@ -292,6 +292,29 @@
     });
 }
 
+/// Number of calls that an agent sends to its application at the same time while it is cold.
+const COLD_CAP: usize = 8;
+
+/// Guards against an order that waits for admission until the agent ends.
+#[test]
+fn agent_refuses_waiting_order_at_once() {
+    block_on(async {
+        let mut fleet = start_slow_fleet(1).await;
+        let mut connections = Vec::new();
+        for _ in 0..=COLD_CAP {
+            connections.push(send(&fleet, &Pending::Order.request(&fleet).await).await);
+        }
+        assert_eq!(fleet.state("worker-1").await.unwrap()["keys"], COLD_CAP + 1);
+        fleet.agent("worker-1").signal(Signal::TERM).unwrap();
+        let stopped_at = Instant::now();
+        let response = connections.pop().unwrap().read().await;
+        let waited = stopped_at.elapsed();
+        assert_eq!(response.status(), Some(503), "{response:?}");
+        assert!(response.has_outcome("not_run"), "{response:?}");
+        assert!(waited <= PROMPT_LIMIT, "the response came after {waited:?}");
+    });
+}
+
 /// Stops the agent of the engine that has `pending`, and checks that another engine answers and that
 /// the agent ends in time.
 fn check_agent(pending: Pending) {
