entry: keep the outcome of an earlier attempt of a call without a key

A caller whose stock check was at an agent that stopped or died was told not_run at its deadline, although the call had been sent to the application. A refusal that says not_run has to be true.

After an attempt that may have run, call_any_worker looks for another worker. If there is none, or it refuses, it returned that later refusal, which says not_run. Completions corrected this by a flag of their own. The flag and the correction are now part of the request's life cycle, and both use them; a refusal because of the deadline or the stop follows it as well.

Found while testing the stop; crashes of an agent take the same path and have no test of their own.

--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -60,7 +60,10 @@
     let run = async {
         match &call.key {
             Some(key) => call_key_owner(entry, &mut request, &call, key).await,
-            None => call_any_worker(entry, &mut request, &call).await,
+            None => {
+                let result = call_any_worker(entry, &mut request, &call).await;
+                result.map_err(|refusal| request.correct_outcome(refusal))
+            }
         }
     };
     let result = tokio::select! {
@@ -132,6 +135,8 @@
         };
         if refusal.outcome == Outcome::NotRun {
             request.record_refusal();
+        } else {
+            request.record_failure();
         }
         if !request.may_retry(&refusal, entry.clock.now()) {
             return Err(refusal);
--- a/entry/src/dispatch/completion.rs
+++ b/entry/src/dispatch/completion.rs
@@ -41,8 +41,6 @@
     rounds: RetryRounds,
     /// Base priority, from the configuration of the team.
     team_priority: u8,
-    /// Whether any earlier attempt may have run.
-    possibly_run: bool,
     /// Number of targets that failed before they sent an item.
     unanswered_failures: u32,
     admitted_at: Instant,
@@ -64,7 +62,6 @@
         let search = TargetSearch::new(&entry, &request, &call);
         Self {
             team_priority: call.priority,
-            possibly_run: false,
             unanswered_failures: 0,
             search,
             entry,
@@ -93,26 +90,18 @@
             () = entry.end_requests.cancelled() => None,
         };
         let result = match result {
-            Some(Ok(result)) => result.map_err(|refusal| self.correct_outcome(refusal)),
-            Some(Err(_)) => Err(self.correct_outcome(self.request.timeout_refusal())),
+            Some(Ok(result)) => result.map_err(|refusal| self.request.correct_outcome(refusal)),
+            Some(Err(_)) => Err(self.request.timeout_refusal()),
             None => Err(self.stop_refusal()),
         };
         self.record_result(&result);
         result
     }
 
-    /// Changes the outcome from `NotRun` to `Failed` if an earlier attempt may have run.
-    fn correct_outcome(&self, refusal: Refusal) -> Refusal {
-        match refusal.outcome {
-            Outcome::NotRun if self.possibly_run => Refusal { outcome: Outcome::Failed, ..refusal },
-            _ => refusal,
-        }
-    }
-
     /// Returns the refusal if the entry ends before the response.
     fn stop_refusal(&self) -> Refusal {
         // A caller that resumes its stream has received a part of it.
-        match self.possibly_run || self.request.attempt().position > 0 {
+        match self.request.attempt().position > 0 {
             true => Refusal::failed(Reason::Interrupted),
             false => self.request.stop_refusal(),
         }
@@ -203,7 +192,7 @@
             target_id = target, position = attempt.position;
             "stream broke off"
         );
-        self.possibly_run = true;
+        self.request.record_failure();
         self.entry.state().prefixes.record_failure(&target);
         self.exclude_for(&target, FAILURE_BACKOFF);
         if is_unanswered && !self.may_fail_again() {
@@ -328,7 +317,7 @@
         if refusal.outcome == Outcome::NotRun {
             self.request.record_refusal();
         } else {
-            self.possibly_run = true;
+            self.request.record_failure();
         }
         self.record_target_refusal(destination, &refusal);
         if !self.request.may_retry(&refusal, self.entry.clock.now()) {
--- a/lib/src/request/lifecycle.rs
+++ b/lib/src/request/lifecycle.rs
@@ -18,6 +18,8 @@
     cursor: Cursor,
     /// Whether the newest attempt was sent and not refused.
     attempt_may_run: bool,
+    /// Whether an attempt failed after it may have run.
+    possibly_run: bool,
     retry_safe: bool,
 }
 
@@ -58,7 +60,7 @@
     /// `cursor` is the position of the caller in the stream, and `retry_safe` says whether the
     /// request may run more than once.
     pub fn admit(self, cursor: Cursor, retry_safe: bool) -> Request<Admitted> {
-        let state = Admitted { cursor, attempt_may_run: false, retry_safe };
+        let state = Admitted { cursor, attempt_may_run: false, possibly_run: false, retry_safe };
         Request { id: self.id, team: self.team, cost: self.cost, deadline: self.deadline, state }
     }
 }
@@ -85,6 +87,22 @@
         self.state.attempt_may_run = false;
     }
 
+    /// Records that the current attempt failed after it may have run.
+    pub fn record_failure(&mut self) {
+        self.state.possibly_run = true;
+    }
+
+    /// Returns the refusal of an attempt with the outcome of the whole request, of which an earlier
+    /// attempt may have run.
+    pub fn correct_outcome(&self, refusal: Refusal) -> Refusal {
+        match refusal.outcome {
+            Outcome::NotRun if self.state.possibly_run => {
+                Refusal { outcome: Outcome::Failed, ..refusal }
+            }
+            _ => refusal,
+        }
+    }
+
     /// Returns whether another attempt may be made at `now` after `refusal`.
     pub fn may_retry(&self, refusal: &Refusal, now: Instant) -> bool {
         let safe = self.state.retry_safe || refusal.outcome == Outcome::NotRun;
@@ -93,7 +111,7 @@
 
     /// Returns the refusal for a request whose deadline has passed, with whether it may have run.
     pub fn timeout_refusal(&self) -> Refusal {
-        match self.state.attempt_may_run {
+        match self.may_have_run() {
             false => Refusal::not_run(Reason::DeadlineExceeded),
             true => self.lost_refusal(Reason::DeadlineExceeded),
         }
@@ -102,12 +120,16 @@
     /// Returns the refusal for a request that ends because its process does, with whether it may have
     /// run.
     pub fn stop_refusal(&self) -> Refusal {
-        match self.state.attempt_may_run {
+        match self.may_have_run() {
             false => Refusal::not_run(Reason::ShuttingDown),
             true => self.lost_refusal(Reason::Interrupted),
         }
     }
 
+    fn may_have_run(&self) -> bool {
+        self.state.attempt_may_run || self.state.possibly_run
+    }
+
     fn lost_refusal(&self, reason: Reason) -> Refusal {
         match self.state.retry_safe {
             true => Refusal::failed(reason),
--- a/local/tests/processes/stop.rs
+++ b/local/tests/processes/stop.rs
@@ -315,6 +315,23 @@
     });
 }
 
+/// Guards against a caller that is told that its call has not run, although an agent that has ended
+/// had sent it to its target.
+#[test]
+fn agent_waits_for_stock_check() {
+    block_on(async {
+        let mut fleet = start_slow_fleet(1).await;
+        let text = Pending::StockCheck.request(&fleet).await;
+        let limit = STOP_TIMEOUT + 2 * PROMPT_LIMIT;
+        let limit_ms = limit.as_millis().to_string();
+        let text = text.replacen(&TIME_LIMIT_MS.to_string(), &limit_ms, 1);
+        let mut connection = send(&fleet, &text).await;
+        fleet.agent("worker-1").signal(Signal::TERM).unwrap();
+        let response = connection.read().await;
+        assert!(response.has_outcome("failed"), "{response:?}");
+    });
+}
+
 /// Stops the agent of the engine that has `pending`, and checks that another engine answers and that
 /// the agent ends in time.
 fn check_agent(pending: Pending) {
