--- a/local/tests/processes/stop.rs
+++ b/local/tests/processes/stop.rs
@@ -2,6 +2,7 @@
 //! within its stop timeout.
 
 use crate::support::{CONDITION_TIMEOUT, ORDERS_PATH, prompt, start_fleet};
+use futures::future::join_all;
 use serde_json::json;
 use std::time::Duration;
 use testutils::{
@@ -252,6 +253,48 @@
     });
 }
 
+/// Guards against a caller that keeps the connection of a response from a stopping entry, and sends
+/// its next request while the entry closes it.
+#[test]
+fn entry_closes_connections_while_it_drains() {
+    block_on(async {
+        let mut fleet = start_slow_fleet(1).await;
+        fleet.process("entry-1").signal(Signal::TERM).unwrap();
+        sleep(DRAIN_TIME / 4).await;
+        let text = completion(10, 1, false).replacen("connection: close\r\n", "", 1);
+        let mut connection = RawConnection::open(fleet.caller(1).address()).await.unwrap();
+        connection.send(&text).await.unwrap();
+        let response = connection.read().await;
+        assert_eq!(response.status(), Some(200), "{response:?}");
+        assert!(response.text.contains("connection: close\r\n"), "{response:?}");
+    });
+}
+
+/// Number of requests in progress at the same time.
+const MANY: usize = 90;
+
+/// Guards against responses that are still being written when the process ends.
+#[test]
+fn entry_waits_for_many_requests() {
+    block_on(async {
+        let mut fleet = start_slow_fleet(1).await;
+        let text = Pending::StockCheck.request(&fleet).await;
+        let mut connections = Vec::new();
+        for _ in 0..MANY {
+            let mut connection = RawConnection::open(fleet.caller(1).address()).await.unwrap();
+            connection.send(&text).await.unwrap();
+            connections.push(connection);
+        }
+        sleep(SETTLE_TIME).await;
+        fleet.process("entry-1").signal(Signal::TERM).unwrap();
+        for response in join_all(connections.iter_mut().map(RawConnection::read)).await {
+            let outcomes = ["failed", "not_run"];
+            let has_outcome = outcomes.iter().any(|outcome| response.has_outcome(outcome));
+            assert!(has_outcome, "{response:?}");
+        }
+    });
+}
+
 /// Guards against a prompt that waits until the entry ends, although no engine can begin it before.
 #[test]
 fn entry_refuses_waiting_prompt_at_once() {
