--- a/entry/src/dispatch/applications.rs
+++ b/entry/src/dispatch/applications.rs
@@ -45,7 +45,7 @@
     pub(crate) fleet: Arc<Fleet>,
 }
 
-/// Runs a call until it is answered or refused, or its deadline passes.
+/// Runs a call until it is answered or refused, its deadline passes, or the entry is about to end.
 ///
 /// # Errors
 ///
@@ -60,14 +60,24 @@
     let run = async {
         match &call.key {
             Some(key) => call_key_owner(entry, &mut request, &call, key).await,
-            None => call_any_worker(entry, &mut request, &call).await,
+            None => {
+                let result = call_any_worker(entry, &mut request, &call).await;
+                result.map_err(|refusal| request.correct_outcome(refusal))
+            }
         }
     };
-    match timeout_at(deadline.into(), run).await {
-        Ok(result) => result,
-        // An earlier call with the same key, sent by another entry, may have run.
-        Err(_) if call.key.is_some() => Err(Refusal::unknown(Reason::DeadlineExceeded)),
-        Err(_) => Err(request.timeout_refusal()),
+    let result = tokio::select! {
+        biased;
+        result = timeout_at(deadline.into(), run) => Some(result),
+        () = entry.end_requests.cancelled() => None,
+    };
+    // An earlier call with the same key, sent by another entry, may have run.
+    match result {
+        Some(Ok(result)) => result,
+        Some(Err(_)) if call.key.is_some() => Err(Refusal::unknown(Reason::DeadlineExceeded)),
+        Some(Err(_)) => Err(request.timeout_refusal()),
+        None if call.key.is_some() => Err(Refusal::unknown(Reason::Interrupted)),
+        None => Err(request.stop_refusal()),
     }
 }
 
@@ -125,6 +135,8 @@
         };
         if refusal.outcome == Outcome::NotRun {
             request.record_refusal();
+        } else {
+            request.record_failure();
         }
         if !request.may_retry(&refusal, entry.clock.now()) {
             return Err(refusal);
--- a/lib/src/forward/stop.rs
+++ b/lib/src/forward/stop.rs
@@ -1,4 +1,4 @@
-//! Which requests an entry still takes while it stops.
+//! Which requests an entry still takes while it stops, and when it ends those in progress.
 
 use crate::{request::Deadline, routes::RetryPolicy};
 use std::time::{Duration, Instant};
@@ -18,8 +18,8 @@
 /// callers.
 const END_MARGIN: Duration = Duration::from_millis(250);
 
-/// Largest share of the grace period that this time takes.
-const MAX_END_MARGIN_SHARE: f64 = 0.1;
+/// Largest share of the time between the drain and the abort that this takes.
+const MAX_END_MARGIN_SHARE: f64 = 0.2;
 
 /// Times of the stop of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,16 +32,21 @@
     /// Returns the schedule of a stop that begins at `now`, of a process that is killed after
     /// `grace`.
     pub fn new(now: Instant, grace: Duration) -> Self {
-        Self {
-            deregistered_at: now + deregistration_delay(grace),
-            ends_at: now + deregistration_delay(grace) + end_delay(grace),
-        }
+        Self::with_delays(now, deregistration_delay(grace), Self::abort_delay(grace))
+    }
+
+    /// Returns the schedule of a stop that begins at `now`. New connections are accepted for
+    /// `drain_time`, and those that are still open are aborted `abort_delay` after that.
+    pub fn with_delays(now: Instant, drain_time: Duration, abort_delay: Duration) -> Self {
+        let margin = END_MARGIN.min(abort_delay.mul_f64(MAX_END_MARGIN_SHARE));
+        let deregistered_at = now + drain_time;
+        Self { deregistered_at, ends_at: deregistered_at + abort_delay - margin }
     }
 
     /// Returns the schedule of a stop that begins at `now` because the process has failed. New
     /// connections are not accepted, so that all else is earlier by the time for them.
     pub fn of_failure(now: Instant, grace: Duration) -> Self {
-        Self { deregistered_at: now, ends_at: now + end_delay(grace) }
+        Self::with_delays(now, Duration::ZERO, Self::abort_delay(grace))
     }
 
     /// Returns the time between the end of [`Self::until_deregistered`] and the abort of connections.
@@ -73,9 +78,3 @@
 fn deregistration_delay(grace: Duration) -> Duration {
     DEREGISTRATION_DELAY.min(grace.mul_f64(MAX_DEREGISTRATION_SHARE))
 }
-
-/// Returns the time between the end of the deregistration and the end of requests in progress.
-fn end_delay(grace: Duration) -> Duration {
-    let margin = END_MARGIN.min(grace.mul_f64(MAX_END_MARGIN_SHARE));
-    StopSchedule::abort_delay(grace).saturating_sub(margin)
-}
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -8,7 +8,7 @@
 mod server;
 
 pub use self::{
-    accept::{accept_caller, bind_callers},
+    accept::{accept_caller, bind_callers, serve_late},
     bodies::{
         BodyBudget, BodyBuffer, BodyLimits, BodyReadError, EventMemory, HeldBody, HeldMemory,
     },
