entry, agent: stop in order when the supervisor tree fails

An entry or agent whose children exceed the restart limit went around its life cycle as the gateway did: requests in progress were cut without a response, and those that came meanwhile were taken. The life cycle of all three programs now waits for the failure of the tree as for a request to stop, and an entry does not drain first.

For the entry and the agent there is no test of a failing tree; the tests of their stops pass.

--- a/agent/src/tree.rs
+++ b/agent/src/tree.rs
@@ -13,7 +13,7 @@
     control::{ControlHandler, ControlServer},
     http::{Server, ServerSettings},
     ops::{self, StateDump},
-    process::{Process, Readiness, Serving, Starting},
+    process::{Process, Readiness, Serving, Starting, wait_stop},
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
@@ -69,29 +69,34 @@
     let (agent, queue) = Agent::new(settings, Arc::clone(&clock));
     let process = Process::new(readiness.clone());
     let supervisor = supervisor(&agent, queue, listeners, readiness, metrics);
-    let stop = CancellationToken::new();
+    let (stop, failing) = (CancellationToken::new(), supervisor.failing());
     tokio::select! {
         result = supervisor.run(stop.clone()) => result,
-        never = run_lifecycle(&agent, process, shutdown, &stop) => never,
+        never = run_lifecycle(&agent, process, shutdown, failing, &stop) => never,
     }
 }
 
 /// Moves the process through the states of its life cycle: starting, serving, draining and stopped.
 ///
-/// Never returns; [`run`] returns when the supervisor tree has stopped.
+/// Never returns; [`run`] returns when the supervisor tree has stopped. `failing` says that the tree
+/// stops by itself.
 async fn run_lifecycle(
     agent: &Agent,
     starting: Process<Starting>,
     shutdown: CancellationToken,
+    failing: CancellationToken,
     stop: &CancellationToken,
 ) -> TaskResult {
     let draining = tokio::select! {
         () = agent.wait_ready() => {
             let serving = starting.serve();
-            update_readiness(&serving, agent.ready.subscribe(), &shutdown).await;
+            tokio::select! {
+                () = wait_stop(&shutdown, &failing) => {}
+                () = update_readiness(&serving, agent.ready.subscribe()) => {}
+            }
             serving.drain()
         }
-        () = shutdown.cancelled() => starting.drain(),
+        () = wait_stop(&shutdown, &failing) => starting.drain(),
     };
     agent.begin_stop();
     agent.drain().await;
@@ -99,18 +104,12 @@
     pending().await
 }
 
-/// Updates the readiness of the process when that of the target changes, until `shutdown` is
-/// cancelled.
-async fn update_readiness(
-    serving: &Process<Serving>,
-    mut ready: watch::Receiver<bool>,
-    shutdown: &CancellationToken,
-) {
+/// Updates the readiness of the process when that of the target changes.
+async fn update_readiness(serving: &Process<Serving>, mut ready: watch::Receiver<bool>) {
     loop {
         serving.set_ready(*ready.borrow_and_update());
-        tokio::select! {
-            () = shutdown.cancelled() => return,
-            changed = ready.changed() => if changed.is_err() { return },
+        if ready.changed().await.is_err() {
+            return;
         }
     }
 }
--- a/entry/src/entry.rs
+++ b/entry/src/entry.rs
@@ -207,9 +207,10 @@
         }
     }
 
-    /// Records that the stop of the entry has begun, and returns its times.
-    pub(crate) fn begin_stop(&self) -> StopSchedule {
-        let Settings { drain_time, stop_timeout, .. } = self.settings;
+    /// Records that a stop has begun in which connections are accepted for `drain_time`, and returns
+    /// its times.
+    pub(crate) fn begin_stop(&self, drain_time: Duration) -> StopSchedule {
+        let stop_timeout = self.settings.stop_timeout;
         let schedule = StopSchedule::with_delays(self.clock.now(), drain_time, stop_timeout);
         self.state().stop = Some(schedule);
         schedule
--- a/entry/src/tree.rs
+++ b/entry/src/tree.rs
@@ -12,11 +12,11 @@
     control::{ControlHandler, ControlServer},
     http::{Server, ServerSettings, bind_callers},
     ops::{self, StateDump},
-    process::{Process, Readiness, Starting},
+    process::{Process, Readiness, Starting, wait_stop},
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
-use std::{future::pending, io, sync::Arc};
+use std::{future::pending, io, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -70,33 +70,40 @@
     let (entry, queue) = Entry::new(settings, clock);
     let process = Process::new(readiness.clone());
     let supervisor = supervisor(&entry, queue, listeners, readiness, metrics);
-    let stop = CancellationToken::new();
+    let (stop, failing) = (CancellationToken::new(), supervisor.failing());
     tokio::select! {
         result = supervisor.run(stop.clone()) => result,
-        never = run_lifecycle(&entry, process, shutdown, &stop) => never,
+        never = run_lifecycle(&entry, process, shutdown, failing, &stop) => never,
     }
 }
 
 /// Moves the process through the states of its life cycle: starting, serving, draining and stopped.
 ///
-/// Never returns; [`run`] returns when the supervisor tree has stopped.
+/// Never returns; [`run`] returns when the supervisor tree has stopped. `failing` says that the tree
+/// stops by itself.
 async fn run_lifecycle(
     entry: &Entry,
     starting: Process<Starting>,
     shutdown: CancellationToken,
+    failing: CancellationToken,
     stop: &CancellationToken,
 ) -> TaskResult {
     let draining = tokio::select! {
         () = entry.wait_configured() => {
             let serving = starting.serve();
-            shutdown.cancelled().await;
+            wait_stop(&shutdown, &failing).await;
             serving.drain()
         }
-        () = shutdown.cancelled() => starting.drain(),
+        () = wait_stop(&shutdown, &failing) => starting.drain(),
     };
-    let schedule = entry.begin_stop();
-    // The load balancer sends new requests until it detects that the entry is not ready.
-    sleep(entry.settings.drain_time).await;
+    // The load balancer sends new requests until it detects that the entry is not ready. A tree that
+    // fails accepts none.
+    let drain_time = match failing.is_cancelled() {
+        true => Duration::ZERO,
+        false => entry.settings.drain_time,
+    };
+    let schedule = entry.begin_stop(drain_time);
+    sleep(drain_time).await;
     draining.stop(stop);
     sleep(schedule.remaining(entry.clock.now())).await;
     entry.end_requests();
--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -15,7 +15,7 @@
 use fulmarhead_runtime::{
     http::{Server, ServerSettings, bind_callers},
     ops::{self, StateDump},
-    process::{Process, Readiness, Serving, Starting},
+    process::{Process, Readiness, Serving, Starting, wait_stop},
     supervisor::{Supervisor, TaskResult},
     telemetry::MetricsHandle,
 };
@@ -100,23 +100,16 @@
     failing: CancellationToken,
     stop: &CancellationToken,
 ) -> TaskResult {
-    let stopping = async {
-        tokio::select! {
-            () = shutdown.cancelled() => {}
-            () = failing.cancelled() => {}
-        }
-    };
-    tokio::pin!(stopping);
     let draining = tokio::select! {
         () = gateway.wait_configured() => {
             let serving = starting.serve();
             tokio::select! {
-                () = &mut stopping => {}
+                () = wait_stop(&shutdown, &failing) => {}
                 () = update_readiness(gateway, &serving) => {}
             }
             serving.drain()
         }
-        () = &mut stopping => starting.drain(),
+        () = wait_stop(&shutdown, &failing) => starting.drain(),
     };
     let (now, grace) = (gateway.clock.now(), gateway.settings.termination_grace);
     let schedule = match failing.is_cancelled() {
--- a/runtime/src/process.rs
+++ b/runtime/src/process.rs
@@ -86,6 +86,15 @@
     }
 }
 
+/// Waits until a process has to stop, because `shutdown` says so or because its supervisor tree is
+/// `failing`.
+pub async fn wait_stop(shutdown: &CancellationToken, failing: &CancellationToken) {
+    tokio::select! {
+        () = shutdown.cancelled() => {}
+        () = failing.cancelled() => {}
+    }
+}
+
 /// Runs a supervisor tree until it ends, then flushes the logs. SIGTERM and SIGINT cancel
 /// `shutdown`.
 ///
