store, gateway: allow a list of 20,000 targets

A part of the store was limited to 4 MiB, which is about 10,000 targets. The fleet to design for has 11,000, so that its list would never have been read.

--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -12,9 +12,9 @@
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-/// Maximum size of a message, in bytes: complete copies of both parts of the store (4 MiB each at
+/// Maximum size of a message, in bytes: complete copies of both parts of the store (8 MiB each at
 /// most, see [`fulmarhead_platform::MAX_SNAPSHOT_BYTES`]), the entries and their loads.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 12 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 20 << 20;
 
 /// Request of an exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
