--- a/gateway/src/tree.rs
+++ b/gateway/src/tree.rs
@@ -47,6 +47,11 @@
         Self { callers, control, readiness, ops: None }
     }
 
+    /// Adds a listener for operators that is already bound.
+    pub fn with_operators(self, operators: TcpListener) -> Self {
+        Self { ops: Some(Arc::new(operators)), ..self }
+    }
+
     /// Binds the addresses of `settings`, and `ops_port` for operators if it is set.
     ///
     /// # Errors
