--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -235,7 +235,8 @@
 /// # Errors
 ///
 /// Returns an error if the connection failed, the deadline passed, a part of the prompt was
-/// quarantined, or this entry is about to end. Silence is an error only if the stream can be resumed at another target.
+/// quarantined, or this entry is about to end. Silence is an error only if the stream can be resumed
+/// at another target.
 async fn read_bytes(
     context: &RequestContext,
     target_response: &mut TargetResponse,
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -79,6 +79,7 @@
     service_draw: f64,
     /// Number of attempts so far, including those without a connection.
     attempts: AtomicUsize,
+    /// Counts the request as one in progress.
     pub(super) open: OpenRequest,
     /// Place in the queue of requests that wait for capacity.
     pub(super) place: WaitingPlace,
