--- a/review/10/case.py
+++ b/review/10/case.py
@@ -22,6 +22,8 @@
 WORKERS = 12
 # Time for which a crashed worker is away: "some seconds".
 DOWN_S = 3.0
+# The settings' heartbeatMs.
+HEARTBEAT_S = 1.2
 # Time between two requests with the part that crashes workers, and between two sound ones.
 TAINTED_EVERY_S = 1.0
 SOUND_EVERY_S = 20.0
@@ -61,14 +63,18 @@
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
+        asyncio.create_task(self.lapse(f"servers/{self.name}"))
         await asyncio.sleep(DOWN_S)
-        # The entry of the old incarnation lapses, and the new one writes its own.
-        self.case.store.delete(f"servers/{self.name}")
         self.incarnation += 1
         self.name = f"i-{self.number}-{self.incarnation}"
         self.born = int(time.time() * 1000)
         await self.start()
 
+    async def lapse(self, key):
+        """Removes the entry of an incarnation after three heartbeats of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.case.store.delete(key)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
