--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,7 +6,6 @@
 import socket
 import struct
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -151,9 +150,9 @@
             f"X-Fulmarhead-Prefix-Hash: {FIRST_PART}:40,{second}:400,{own}:4560",
         ]
         head = deployment.head("POST", "/chat/x", DEADLINE_MS, deployment.new_attempt(), lines)
-        reader, writer = await asyncio.open_connection(standin.HOST, port)
-        outcome = "broken off"
+        outcome, writer = "broken off", None
         try:
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
             writer.write((head + "\r\n").encode())
             data = await asyncio.wait_for(reader.read(12), 12)
             status = data.decode()[9:12] or "no answer"
@@ -163,7 +162,8 @@
         except (OSError, asyncio.TimeoutError):
             pass
         finally:
-            writer.close()
+            if writer is not None:
+                writer.close()
         self.record.write(f"caller: {kind} prompt: {outcome}")
         key = f"{kind}: {outcome}"
         self.outcomes[key] = self.outcomes.get(key, 0) + 1
@@ -225,5 +225,4 @@
             gateway.kill()
 
 
-with tempfile.TemporaryDirectory() as temporary:
-    sys.exit(asyncio.run(main(temporary)))
+deployment.run_case(main)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -3,8 +3,12 @@
 import asyncio
 import os
 import random
+import signal
 import socket
 import subprocess
+import sys
+import tempfile
+import traceback
 from pathlib import Path
 
 import platform_standin as standin
@@ -174,3 +178,20 @@
     }
     service = standin.application_service(name)
     return service | {"maxConnections": 438, "warmupS": 3.0, "warmupPerS": 36.0, "runtime": runtime}
+
+
+def run_case(main):
+    """Runs `main` with a temporary folder and exits with its result, or with 2 if the case couldn't
+    run. SIGTERM ends the case, and `main` then ends its processes."""
+
+    def stop(*_):
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            code = asyncio.run(main(folder))
+        except Exception:
+            traceback.print_exc()
+            code = 2
+    sys.exit(code)
