--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -33,14 +33,22 @@
             Some(Ok(table)) if active_version.is_none_or(|version| table.version() > version) => {
                 table
             }
-            Some(Ok(_)) | None => return,
+            Some(Ok(table)) => {
+                let version: Revision = table.version();
+                if active_version.is_some_and(|active| active > version) {
+                    info!(target: "decision", version, active_version; "ignored an older configuration");
+                }
+                return;
+            }
+            None => return,
             Some(Err(error)) => {
                 warn!(target: "decision", error:%; "configuration refused");
                 return;
             }
         };
         let (version, routes): (Revision, usize) = (table.version(), table.len());
-        info!(target: "decision", version, routes; "activated a new configuration");
+        let revision = state.config_replica.revision();
+        info!(target: "decision", version, routes, revision; "activated a new configuration");
         state.table = Some(Arc::new(table));
         self.config_version.send_replace(version);
     }
--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -207,8 +207,16 @@
     let snapshot = gateway.store.snapshot(part.key_prefix()).await?;
     let mut state = gateway.state();
     let replica = part.replica(&mut state);
-    if replica.load_snapshot(snapshot.revision, snapshot.items) {
+    let (own_revision, revision, era) = (replica.revision(), snapshot.revision, snapshot.era);
+    if replica.load_snapshot(revision, snapshot.items) {
         part.confirm(&mut state, requested_at);
+    } else {
+        info!(
+            target: "decision", part:%, revision, era, own_revision;
+            "discarded a snapshot that is older than the replica"
+        );
+        metrics::counter!("fulmarhead_store_snapshots_discarded_total", "part" => <&str>::from(part))
+            .increment(1);
     }
     drop(state);
     gateway.activate(part);
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -34,6 +34,9 @@
 pub type RouteId = String;
 /// Name of a service, a group of targets that serve the same requests.
 pub type ServiceId = String;
+/// Number of times that the platform's store has come back from a copy of itself. Its revisions name
+/// a state only within one era.
+pub type StoreEra = u64;
 /// Identifier of an event of a target's stream, which increases within the stream.
 pub type StreamEventId = u64;
 /// Name of a target: a model engine or an application worker.
--- a/runtime/src/http/client.rs
+++ b/runtime/src/http/client.rs
@@ -155,8 +155,22 @@
         endpoint: &Endpoint,
         limits: CallLimits,
     ) -> Result<T, ClientError> {
-        let body = self.call(Method::GET, endpoint, Bytes::new(), limits).await?;
-        Ok(serde_json::from_slice(&body)?)
+        Ok(self.get_json_with_headers(endpoint, limits).await?.1)
+    }
+
+    /// Sends a GET request, parses the response as JSON, and returns its headers as well.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error under the same conditions as [`Self::get_json`].
+    pub async fn get_json_with_headers<T: DeserializeOwned>(
+        &self,
+        endpoint: &Endpoint,
+        limits: CallLimits,
+    ) -> Result<(HeaderMap, T), ClientError> {
+        let request = (Method::GET, HeaderMap::new(), Bytes::new());
+        let (headers, body) = self.exchange(request, endpoint, limits).await?;
+        Ok((headers, serde_json::from_slice(&body)?))
     }
 
     /// Sends `message` as JSON and returns the body of a successful response.
@@ -208,13 +222,24 @@
         body: Bytes,
         limits: CallLimits,
     ) -> Result<Bytes, ClientError> {
+        Ok(self.exchange((method, headers, body), endpoint, limits).await?.1)
+    }
+
+    /// Sends a request and returns the headers and the body of a successful response.
+    async fn exchange(
+        &self,
+        (method, headers, body): (Method, HeaderMap, Bytes),
+        endpoint: &Endpoint,
+        limits: CallLimits,
+    ) -> Result<(HeaderMap, Bytes), ClientError> {
         let call = async {
             let response = self.send(method, endpoint, headers, body).await?;
             let status = response.status();
             if !status.is_success() {
                 return Err(ClientError::Status(status));
             }
-            read_body(response.into_body(), limits.bytes).await
+            let (head, body) = response.into_parts();
+            Ok((head.headers, read_body(body, limits.bytes).await?))
         };
         timeout(limits.time, call).await.map_err(|_| ClientError::Timeout(limits.time))?
     }
