--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -32,7 +32,8 @@
             "routes": state.table.as_ref().map(|table| table.len()),
             "configuration_age_ms":
                 state.config_replica.freshness().age(now).map(|age| age.as_millis() as u64),
-            "list_revision": state.target_list.revision(),
+            "list_revision": state.target_list.position().revision,
+            "store_era": state.target_list.position().era,
             "targets": pool.targets,
             "zones_out": pool.excluded_zones,
             "limited_targets": limits,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -94,7 +94,7 @@
     /// Replica of the list of targets.
     pub(crate) target_list: Replica,
     pub(crate) list_recovery: ListRecovery,
-    /// Transfers from peers of parts of the store of which a peer has a newer revision.
+    /// Transfers from peers of parts of the store of which a peer has a newer state.
     pub(crate) fetches: BTreeMap<StorePart, Fetch>,
     /// Active configuration; `None` before the first.
     pub(crate) table: Option<Arc<RouteTable>>,
@@ -270,7 +270,7 @@
         let state = self.state();
         let max_age = self.settings.revocation_bound.mul_f64(MAX_CONFIG_AGE_SHARE);
         state.table.is_some()
-            && state.target_list.revision() > 0
+            && state.target_list.position().revision > 0
             && state.config_replica.freshness().is_within(max_age, self.clock.uptime())
     }
 
--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -6,11 +6,11 @@
     store::StorePart,
 };
 use fulmarhead_lib::{
-    ids::{Revision, TargetId},
+    ids::TargetId,
     membership::{EntryInfo, Link},
     placement::{ConnectionId, LimitNews, LimitVersion, LoadDelta, ReportSource, TargetLoad},
     quarantine::{News, Version},
-    replica::Delta,
+    replica::{Delta, Position},
 };
 use log::info;
 use std::{
@@ -38,11 +38,11 @@
     sent_limits: LimitVersion,
     /// Digest of the entries that the peer knew at its last response.
     peer_roster: Option<u64>,
-    /// Parts to request from the peer, with the revisions of the local replicas.
-    wanted_parts: BTreeMap<StorePart, Revision>,
-    /// Parts that the peer has requested, with the revisions of its replicas; the next request
+    /// Parts to request from the peer, with the positions of the local replicas.
+    wanted_parts: BTreeMap<StorePart, Position>,
+    /// Parts that the peer has requested, with the positions of its replicas; the next request
     /// carries their changes.
-    parts_to_send: BTreeMap<StorePart, Revision>,
+    parts_to_send: BTreeMap<StorePart, Position>,
 }
 
 impl PeerSession {
@@ -100,8 +100,8 @@
         let mut state = self.state();
         let loads = matches!(session.link, Link::Relay | Link::Zone)
             .then(|| load_changes(&mut session.sent_loads, &state.pool.member_loads(now)));
-        let revisions = StorePart::iter().map(|part| (part, part.replica(&mut state).revision()));
-        let revisions = revisions.collect();
+        let positions = StorePart::iter().map(|part| (part, part.replica(&mut state).position()));
+        let positions = positions.collect();
         let deltas = build_deltas(&mut state, take(&mut session.parts_to_send));
         let quarantine = quarantine_news(&state, &mut session.sent_version, now);
         let limits = limit_news(&state, &mut session.sent_limits, now);
@@ -117,7 +117,7 @@
             entries: if peer_differs { roster.known_entries() } else { BTreeMap::new() },
             loads,
             urgent,
-            revisions,
+            positions,
             wanted: take(&mut session.wanted_parts),
             deltas,
             quarantine,
@@ -152,7 +152,7 @@
             self.notify_peers();
         }
         self.merge_deltas(request.deltas);
-        let wanted = self.parts_to_request(&request.revisions, same_zone);
+        let wanted = self.parts_to_request(&request.positions, same_zone);
         let deltas = build_deltas(&mut self.state(), request.wanted);
         let replicas = self.replica_statuses();
         let roster = self.roster();
@@ -219,38 +219,38 @@
             let replica = part.replica(&mut state);
             // A replica that is at least as recent as the peer's contains everything that was
             // confirmed for the peer's.
-            if let (Some(age), true) = (status.age, replica.revision() >= status.revision) {
+            if let (Some(age), true) = (status.age, replica.position() >= status.position) {
                 part.confirm(&mut state, requested_at.saturating_sub(age));
             }
         }
         drop(state);
-        let revisions =
-            response.replicas.iter().map(|(&part, status)| (part, status.revision)).collect();
-        session.wanted_parts = self.parts_to_request(&revisions, same_zone);
+        let positions =
+            response.replicas.iter().map(|(&part, status)| (part, status.position)).collect();
+        session.wanted_parts = self.parts_to_request(&positions, same_zone);
         session.parts_to_send = response.wanted;
     }
 
-    /// Returns the parts to request from a peer with `revisions`, with the revisions of the local
+    /// Returns the parts to request from a peer with `positions`, with the positions of the local
     /// replicas.
     ///
     /// The relay of a zone requests newer parts from any peer. The other entries request them only
-    /// from peers in their zone, until the newer revision has been known for `FETCH_TIMEOUT`.
+    /// from peers in their zone, until the newer position has been known for `FETCH_TIMEOUT`.
     fn parts_to_request(
         &self,
-        revisions: &BTreeMap<StorePart, Revision>,
+        positions: &BTreeMap<StorePart, Position>,
         same_zone: bool,
-    ) -> BTreeMap<StorePart, Revision> {
+    ) -> BTreeMap<StorePart, Position> {
         let now = self.clock.now();
         let is_relay = self.roster().is_relay();
         let mut state = self.state();
-        let wanted = revisions.iter().filter_map(|(&part, &revision)| {
-            let own_revision = part.replica(&mut state).revision();
-            if revision <= own_revision {
+        let wanted = positions.iter().filter_map(|(&part, &position)| {
+            let own_position = part.replica(&mut state).position();
+            if position <= own_position {
                 return None;
             }
             let fetch = state.fetches.entry(part).or_default();
             let begins = fetch.try_begin(same_zone || is_relay, now);
-            begins.then_some((part, own_revision))
+            begins.then_some((part, own_position))
         });
         wanted.collect()
     }
@@ -262,7 +262,7 @@
             let replica = part.replica(&mut state);
             (
                 part,
-                ReplicaStatus { revision: replica.revision(), age: replica.freshness().age(now) },
+                ReplicaStatus { position: replica.position(), age: replica.freshness().age(now) },
             )
         });
         statuses.collect()
@@ -282,13 +282,13 @@
         for (part, delta) in deltas {
             let mut state = self.state();
             let replica = part.replica(&mut state);
-            let before: Revision = replica.revision();
+            let before = replica.position();
             let merged = replica.merge(delta);
-            let after = replica.revision();
+            let after = replica.position();
             state.fetches.remove(&part);
             drop(state);
             if merged {
-                info!(target: "decision", part:%, before, after; "took changes from a peer");
+                info!(target: "decision", part:%, before:%, after:%; "took changes from a peer");
                 self.activate(part);
                 // The other zones request the changes from the relay of this one.
                 if self.roster().is_relay() {
@@ -299,10 +299,10 @@
     }
 }
 
-/// State of the transfer of one part of which a peer has a newer revision.
+/// State of the transfer of one part of which a peer has a newer state.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Fetch {
-    /// Time at which the newer revision became known.
+    /// Time at which the newer state became known.
     behind_since: Option<Instant>,
     /// Time until which the response to the last request is awaited.
     pending_until: Option<Instant>,
@@ -311,7 +311,7 @@
 impl Fetch {
     /// Returns whether to request the part now, and if so records the request as pending. Returns
     /// false while an earlier request is pending; otherwise true if `immediately`, or if the newer
-    /// revision has been known for at least `FETCH_TIMEOUT`.
+    /// state has been known for at least `FETCH_TIMEOUT`.
     fn try_begin(&mut self, immediately: bool, now: Instant) -> bool {
         let behind_since = *self.behind_since.get_or_insert(now);
         let timed_out = now.saturating_duration_since(behind_since) >= FETCH_TIMEOUT;
@@ -355,14 +355,14 @@
     news
 }
 
-/// Returns the changes of the `wanted` parts since the given revisions, without parts that have
+/// Returns the changes of the `wanted` parts since the given positions, without parts that have
 /// none.
 fn build_deltas(
     state: &mut GatewayState,
-    wanted: BTreeMap<StorePart, Revision>,
+    wanted: BTreeMap<StorePart, Position>,
 ) -> BTreeMap<StorePart, Delta> {
-    let deltas = wanted.into_iter().filter_map(|(part, base_revision)| {
-        let delta = part.replica(state).delta(base_revision)?;
+    let deltas = wanted.into_iter().filter_map(|(part, base)| {
+        let delta = part.replica(state).delta(base)?;
         Some((part, delta))
     });
     deltas.collect()
--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -3,11 +3,11 @@
 
 use crate::store::StorePart;
 use fulmarhead_lib::{
-    ids::{EntryId, Revision},
+    ids::EntryId,
     membership::{EntryInfo, Link},
     placement::{LimitNews, LoadDelta},
     quarantine::News,
-    replica::Delta,
+    replica::{Delta, Position},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -37,10 +37,10 @@
     pub(crate) loads: Option<LoadDelta>,
     /// Whether the loads contain a change that other zones must learn of immediately.
     pub(crate) urgent: bool,
-    /// Revisions of the requesting entry's replicas.
-    pub(crate) revisions: BTreeMap<StorePart, Revision>,
-    /// Parts that the requesting entry requests, with the revisions of its replicas.
-    pub(crate) wanted: BTreeMap<StorePart, Revision>,
+    /// Positions of the requesting entry's replicas.
+    pub(crate) positions: BTreeMap<StorePart, Position>,
+    /// Parts that the requesting entry requests, with the positions of its replicas.
+    pub(crate) wanted: BTreeMap<StorePart, Position>,
     /// Changes of the parts that the responding entry requested in its last response.
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
     /// Changes of the requesting entry's quarantine since the last exchange on the connection.
@@ -53,9 +53,9 @@
 /// State of an entry's replica of one part of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReplicaStatus {
-    /// Revision of the replica.
+    /// Position of the replica.
     #[serde(rename = "at")]
-    pub(crate) revision: Revision,
+    pub(crate) position: Position,
     /// Time since the replica was last known to be up to date with the store; `None` if it never
     /// was.
     pub(crate) age: Option<Duration>,
@@ -76,8 +76,8 @@
     /// State of the responding entry's replicas.
     #[serde(rename = "stamps")]
     pub(crate) replicas: BTreeMap<StorePart, ReplicaStatus>,
-    /// Parts that the responding entry requests, with the revisions of its replicas.
-    pub(crate) wanted: BTreeMap<StorePart, Revision>,
+    /// Parts that the responding entry requests, with the positions of its replicas.
+    pub(crate) wanted: BTreeMap<StorePart, Position>,
     /// Changes of the parts that the requesting entry requested.
     pub(crate) deltas: BTreeMap<StorePart, Delta>,
     /// Changes of the responding entry's quarantine since the last exchange on the connection.
--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -47,7 +47,7 @@
             }
         };
         let (version, routes): (Revision, usize) = (table.version(), table.len());
-        let revision = state.config_replica.revision();
+        let revision = state.config_replica.position().revision;
         info!(target: "decision", version, routes, revision; "activated a new configuration");
         state.table = Some(Arc::new(table));
         self.config_version.send_replace(version);
@@ -69,7 +69,7 @@
             }
         }
         let missing_grace = state.list_recovery.remaining(self.clock.uptime());
-        let (targets, revision) = (members.len(), state.target_list.revision());
+        let (targets, revision) = (members.len(), state.target_list.position().revision);
         let grace_ms = missing_grace.as_millis() as u64;
         info!(target: "decision", targets, revision, grace_ms; "list of targets changed");
         state.pool.update_members(members, missing_grace, now);
--- a/gateway/src/store/watcher.rs
+++ b/gateway/src/store/watcher.rs
@@ -2,8 +2,9 @@
 
 use crate::gateway::{Gateway, GatewayState};
 use fulmarhead_lib::{
+    ids::{Revision, StoreEra},
     membership::Roster,
-    replica::{CopyWait, Replica, StartRole},
+    replica::{CopyWait, Position, Replica, StartRole},
 };
 use fulmarhead_platform::{CONFIG_PREFIX, MEMBER_PREFIX, StoreError};
 use fulmarhead_runtime::supervisor::TaskResult;
@@ -125,6 +126,7 @@
     let mut retry_delay = INITIAL_RETRY_DELAY;
     let mut failing = false;
     loop {
+        let position = part.replica(&mut gateway.state()).position();
         let result = match loaded {
             true => update_replica(gateway, part).await,
             false => load_snapshot(gateway, part).await,
@@ -147,7 +149,7 @@
                 );
                 loaded = false;
             }
-            Err(error @ StoreError::TooManyChanges) => {
+            Err(error @ (StoreError::TooManyChanges | StoreError::Returned)) => {
                 info!(target: "decision", part:%, error:%; "reading a snapshot");
                 loaded = false;
             }
@@ -163,6 +165,8 @@
         let max_delay =
             if is_watcher(gateway) { MAX_WATCH_RETRY_DELAY } else { MAX_POLL_RETRY_DELAY };
         retry_delay = (retry_delay * 2).min(max_delay);
+        // A peer has sent a newer copy meanwhile.
+        loaded |= part.replica(&mut gateway.state()).position() > position;
     }
 }
 
@@ -183,7 +187,7 @@
 async fn wait_for_peer_copy(gateway: &Gateway, part: StorePart) -> bool {
     let (first_start, draw) = (gateway.settings.first_start, rand::rng().random());
     let mut wait = CopyWait::begin(first_start, draw, gateway.clock.now());
-    while part.replica(&mut gateway.state()).revision() == 0 {
+    while part.replica(&mut gateway.state()).position().revision == 0 {
         let role = start_role(&gateway.roster());
         if wait.is_over(role, gateway.clock.now()) {
             return false;
@@ -207,22 +211,29 @@
     let snapshot = gateway.store.snapshot(part.key_prefix()).await?;
     let mut state = gateway.state();
     let replica = part.replica(&mut state);
-    let (own_revision, revision, era) = (replica.revision(), snapshot.revision, snapshot.era);
-    if replica.load_snapshot(revision, snapshot.items) {
-        part.confirm(&mut state, requested_at);
-    } else {
+    let own_position = replica.position();
+    let position = position(snapshot.era, snapshot.revision, own_position);
+    if !replica.load_snapshot(position, snapshot.items) {
         info!(
-            target: "decision", part:%, revision, era, own_revision;
+            target: "decision", part:%, position:%, own_position:%;
             "discarded a snapshot that is older than the replica"
         );
         metrics::counter!("fulmarhead_store_snapshots_discarded_total", "part" => <&str>::from(part))
             .increment(1);
+        return Err(StoreError::Outdated);
     }
+    part.confirm(&mut state, requested_at);
     drop(state);
     gateway.activate(part);
     Ok(())
 }
 
+/// Returns the position of a response. One without an era is taken to be of the era of the replica
+/// that the call was made for, as a store that names no era has only one.
+fn position(era: Option<StoreEra>, revision: Revision, base: Position) -> Position {
+    Position::new(era.unwrap_or(base.era), revision)
+}
+
 /// Watches the store, or polls it once the replica is too old despite the confirmations of other
 /// entries.
 async fn update_replica(gateway: &Gateway, part: StorePart) -> Result<(), StoreError> {
@@ -250,12 +261,18 @@
     wait: Duration,
 ) -> Result<(), StoreError> {
     let requested_at = gateway.clock.uptime();
-    let base_revision = part.replica(&mut gateway.state()).revision();
-    let response = gateway.store.watch(part.key_prefix(), base_revision, wait).await?;
+    let base = part.replica(&mut gateway.state()).position();
+    let response = gateway.store.watch(part.key_prefix(), base.revision, wait).await?;
     let changed = !response.changes.is_empty();
+    let position = position(response.era, response.revision, base);
     let mut state = gateway.state();
     let replica = part.replica(&mut state);
-    replica.apply(response.revision, response.changes);
+    if !replica.apply(base.revision, position, response.changes) {
+        return match position.era < replica.position().era {
+            true => Err(StoreError::Outdated),
+            false => Err(StoreError::Returned),
+        };
+    }
     part.confirm(&mut state, requested_at);
     state.fetches.remove(&part);
     drop(state);
--- a/lib/src/replica/mod.rs
+++ b/lib/src/replica/mod.rs
@@ -3,12 +3,14 @@
 
 mod copy;
 mod freshness;
+mod position;
 mod recovery;
 mod start;
 
 pub use self::{
     copy::{Change, Delta, Item, Replica},
     freshness::Freshness,
+    position::Position,
     recovery::ListRecovery,
     start::{CopyWait, StartRole},
 };
--- a/lib/tests/replica.rs
+++ b/lib/tests/replica.rs
@@ -1,6 +1,6 @@
 //! Tests of copies of the store, their freshness and the deltas between entries.
 
-use fulmarhead_lib::replica::{Change, Freshness, Item, ListRecovery, Replica};
+use fulmarhead_lib::replica::{Change, Freshness, Item, ListRecovery, Position, Replica};
 use quickcheck::{Gen, QuickCheck};
 use std::time::Duration;
 use testutils::cases;
@@ -17,16 +17,20 @@
     Change::Deleted { key: key.into(), revision }
 }
 
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 fn keys_and_revisions(replica: &Replica) -> Vec<(&str, u64)> {
     replica.items().values().map(|item| (item.key.as_str(), item.revision)).collect()
 }
 
 fn check_apply(changes: Vec<Change>, expected: &[(&str, u64)]) {
     let mut replica = Replica::default();
-    replica.load_snapshot(5, vec![item("a", 3), item("b", 5)]);
-    replica.apply(9, changes);
+    replica.load_snapshot(at(5), vec![item("a", 3), item("b", 5)]);
+    assert!(replica.apply(5, at(9), changes));
     assert_eq!(keys_and_revisions(&replica), expected);
-    assert_eq!(replica.revision(), 9);
+    assert_eq!(replica.position(), at(9));
 }
 
 fn check_freshness(confirmed: &[u64], now: u64, max_age: u64, expected: bool) {
@@ -88,8 +92,8 @@
 #[test]
 fn snapshot_of_an_older_revision_is_ignored() {
     let mut replica = Replica::default();
-    assert!(replica.load_snapshot(5, vec![item("a", 5)]));
-    assert!(!replica.load_snapshot(4, vec![]));
+    assert!(replica.load_snapshot(at(5), vec![item("a", 5)]));
+    assert!(!replica.load_snapshot(at(4), vec![]));
     assert_eq!(keys_and_revisions(&replica), [("a", 5)]);
 }
 
@@ -97,13 +101,13 @@
 #[test]
 fn delta_of_an_older_copy_is_ignored() {
     let mut old = Replica::default();
-    old.load_snapshot(5, vec![item("a", 5)]);
-    let delta = old.delta(0).unwrap();
+    old.load_snapshot(at(5), vec![item("a", 5)]);
+    let delta = old.delta(Position::default()).unwrap();
     let mut new = Replica::default();
-    new.load_snapshot(6, vec![item("b", 6)]);
+    new.load_snapshot(at(6), vec![item("b", 6)]);
     assert!(!new.merge(delta));
     assert_eq!(keys_and_revisions(&new), [("b", 6)]);
-    assert_eq!(old.delta(5), None);
+    assert_eq!(old.delta(at(5)), None);
 }
 
 /// Checks that a copy that merges a delta at any point of a history equals one that applied every
@@ -118,12 +122,12 @@
         };
         let changes: Vec<Change> = history.iter().enumerate().map(change).collect();
         let (mut full, mut partial) = (Replica::default(), Replica::default());
-        full.apply(changes.len() as u64, changes.clone());
-        partial.apply(base_revision as u64, changes[..base_revision].to_vec());
-        if let Some(delta) = full.delta(partial.revision()) {
+        full.apply(0, Position::new(0, changes.len() as u64), changes.clone());
+        partial.apply(0, Position::new(0, base_revision as u64), changes[..base_revision].to_vec());
+        if let Some(delta) = full.delta(partial.position()) {
             partial.merge(delta);
         }
-        full.items() == partial.items() && full.revision() == partial.revision()
+        full.items() == partial.items() && full.position() == partial.position()
     }
     let generator = Gen::from_size_and_seed(30, 7);
     QuickCheck::new().rng(generator).quickcheck(property as fn(Vec<(u8, bool)>, u8) -> bool);
@@ -134,14 +138,14 @@
 #[test]
 fn late_write_does_not_revive_a_deleted_item() {
     let mut replica = Replica::default();
-    replica.load_snapshot(5, vec![item("a", 3), item("b", 5)]);
+    replica.load_snapshot(at(5), vec![item("a", 3), item("b", 5)]);
     let mut peer = replica.clone();
-    peer.apply(7, vec![written("a", 6), deleted("a", 7)]);
-    assert!(replica.merge(peer.delta(5).unwrap()));
+    peer.apply(5, at(7), vec![written("a", 6), deleted("a", 7)]);
+    assert!(replica.merge(peer.delta(at(5)).unwrap()));
     // The watch that began at revision 5.
-    replica.apply(6, vec![written("a", 6)]);
+    replica.apply(5, at(6), vec![written("a", 6)]);
     assert_eq!(keys_and_revisions(&replica), [("b", 5)]);
-    assert_eq!(replica.revision(), 7);
+    assert_eq!(replica.position(), at(7));
 }
 
 /// Checks that answers of watches that arrive after a delta of a peer change nothing, whichever
@@ -157,14 +161,144 @@
         let end = usize::from(to) % (changes.len() + 1);
         let begin = usize::from(from) % (end + 1);
         let (mut full, mut late) = (Replica::default(), Replica::default());
-        full.apply(changes.len() as u64, changes.clone());
-        late.apply(begin as u64, changes[..begin].to_vec());
-        if let Some(delta) = full.delta(late.revision()) {
+        full.apply(0, Position::new(0, changes.len() as u64), changes.clone());
+        late.apply(0, Position::new(0, begin as u64), changes[..begin].to_vec());
+        if let Some(delta) = full.delta(late.position()) {
             late.merge(delta);
         }
-        late.apply(end as u64, changes[begin..end].to_vec());
-        full.items() == late.items() && full.revision() == late.revision()
+        late.apply(begin as u64, Position::new(0, end as u64), changes[begin..end].to_vec());
+        full.items() == late.items() && full.position() == late.position()
     }
     let generator = Gen::from_size_and_seed(30, 7);
     QuickCheck::new().rng(generator).quickcheck(property as fn(Vec<(u8, bool)>, u8, u8) -> bool);
 }
+
+/// A store that can come back from a copy, with the replicas of two entries.
+#[derive(Default)]
+struct Store {
+    position: Position,
+    /// Changes of the present era and those before the copy that it began with.
+    history: Vec<Change>,
+    replicas: [Replica; 2],
+}
+
+impl Store {
+    fn items(&self) -> Vec<Item> {
+        let mut present = Replica::default();
+        present.apply(0, Position::new(0, self.position.revision), self.history.clone());
+        present.items().values().cloned().collect()
+    }
+
+    fn write(&mut self, key: u8, write: bool) {
+        self.position.revision += 1;
+        let (key, revision) = (format!("k{}", key % 5), self.position.revision);
+        // The value differs between eras that give the same revision out.
+        let value = format!("{}", self.position).into_bytes();
+        self.history.push(match write {
+            true => Change::Written(Item { key, value, revision }),
+            false => Change::Deleted { key, revision },
+        });
+    }
+
+    fn return_from(&mut self, lost: u8) {
+        let revision = self.position.revision.saturating_sub(u64::from(lost % 8));
+        self.position = Position::new(self.position.era + 1, revision);
+        self.history.truncate(revision as usize);
+    }
+
+    /// Answers a watch of an entry, with a snapshot if the store does not have its revision.
+    fn read(&mut self, entry: usize) {
+        let base = self.replicas[entry].position();
+        let (position, items) = (self.position, self.items());
+        let changes = self.history.iter().filter(|change| change.revision() > base.revision);
+        let known = base.revision > 0 && base.revision <= position.revision;
+        if !known
+            || !self.replicas[entry].apply(base.revision, position, changes.cloned().collect())
+        {
+            assert!(self.replicas[entry].load_snapshot(position, items));
+        }
+    }
+
+    fn exchange(&mut self, from: usize) {
+        let to = 1 - from;
+        if let Some(delta) = self.replicas[from].delta(self.replicas[to].position()) {
+            self.replicas[to].merge(delta);
+        }
+    }
+}
+
+/// Guards against items of a lost history, or items of the new one that are missing, whichever way
+/// the entries learn of a store that has come back from a copy, once or several times.
+#[test]
+fn copies_follow_a_store_that_returns() {
+    fn property(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut store = Store::default();
+        store.write(0, true);
+        for (step, argument, flag) in steps {
+            match step % 8 {
+                0 => store.return_from(argument),
+                1 | 2 => store.read(usize::from(flag)),
+                3 | 4 => store.exchange(usize::from(flag)),
+                _ => store.write(argument, flag),
+            }
+        }
+        store.read(0);
+        store.exchange(0);
+        let expected = store.items();
+        store.replicas.iter().all(|replica| {
+            let items: Vec<Item> = replica.items().values().cloned().collect();
+            items == expected && replica.position() == store.position
+        })
+    }
+    let generator = Gen::from_size_and_seed(60, 7);
+    QuickCheck::new()
+        .tests(2_000)
+        .rng(generator)
+        .quickcheck(property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
+
+/// Returns a replica at `position` with an item of each of `revisions`.
+fn replica_at(position: Position, revisions: &[u64]) -> Replica {
+    let mut replica = Replica::default();
+    let items = revisions.iter().map(|&revision| item(&format!("k{revision}"), revision));
+    replica.load_snapshot(position, items.collect());
+    replica
+}
+
+/// Checks the position of a replica at `own` after the delta of a peer at `peer`, and that it has the
+/// peer's items exactly if it takes the delta.
+fn check_delta(own: (u64, u64), peer: (u64, u64), base: (u64, u64), taken: bool) {
+    let position = |(era, revision)| Position::new(era, revision);
+    let (own, peer) = (position(own), position(peer));
+    let mut replica = replica_at(own, &[1, 2]);
+    let sender = replica_at(peer, &[1, 3]);
+    assert_eq!(replica.merge(sender.delta(position(base)).unwrap()), taken);
+    let expected = if taken { &sender } else { &replica_at(own, &[1, 2]) };
+    assert_eq!(keys_and_revisions(&replica), keys_and_revisions(expected));
+    assert_eq!(replica.position(), if taken { peer } else { own });
+}
+
+cases! {
+    check_delta {
+        /// Guards against a peer's copy of the new era that is refused because of its revision.
+        delta_of_a_new_era: ((1, 9), (2, 3), (1, 9), true),
+        delta_after_two_returns: ((1, 9), (3, 3), (1, 9), true),
+        /// Guards against a copy of a former era that replaces a newer one.
+        delta_of_a_former_era: ((2, 3), (1, 9), (0, 0), false),
+        /// Guards against a gap between the base of the delta and the copy, which has moved on to
+        /// another era since it asked.
+        delta_for_a_former_era: ((2, 2), (3, 4), (3, 2), false),
+        complete_delta_after_own_read: ((2, 2), (2, 4), (1, 9), true),
+        delta_older_than_own_read: ((2, 5), (2, 4), (1, 9), false),
+    }
+}
+
+/// Guards against a gap in a copy that has moved on to the era of an answer while the call waited.
+#[test]
+fn changes_after_a_revision_that_the_copy_has_not_reached_are_refused() {
+    let mut replica = replica_at(Position::new(2, 3), &[1, 3]);
+    assert!(!replica.apply(5, Position::new(2, 7), vec![written("a", 6)]));
+    assert!(!replica.apply(3, Position::new(1, 7), vec![written("a", 6)]));
+    assert!(!replica.apply(3, Position::new(3, 7), vec![written("a", 6)]));
+    assert_eq!(replica, replica_at(Position::new(2, 3), &[1, 3]));
+}
