--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use fulmarhead_lib::{
     clock::SharedClock,
     forward::{Failure, StopSchedule},
-    ids::{ServiceId, TargetId},
+    ids::{ServiceId, StoreEra, TargetId},
     limits::SharedRetryBudget,
     membership::{EntryInfo, Link, Roster},
     placement::{Choice, ConnectionId, Notice, NoticeEffect, Pool},
@@ -94,6 +94,8 @@
     /// Replica of the list of targets.
     pub(crate) target_list: Replica,
     pub(crate) list_recovery: ListRecovery,
+    /// Era of the store whose contents are active, by part.
+    pub(crate) active_eras: BTreeMap<StorePart, StoreEra>,
     /// Transfers from peers of parts of the store of which a peer has a newer state.
     pub(crate) fetches: BTreeMap<StorePart, Fetch>,
     /// Active configuration; `None` before the first.
@@ -120,6 +122,7 @@
             config_replica: Replica::default(),
             target_list: Replica::default(),
             list_recovery: ListRecovery::new(settings.heartbeat),
+            active_eras: BTreeMap::new(),
             fetches: BTreeMap::new(),
             table: None,
             pool: Pool::new(settings.zone.clone(), settings.start_bound),
--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -16,12 +16,29 @@
     /// A configuration that is invalid or not newer than the active one is ignored.
     pub(crate) fn activate(&self, part: StorePart) {
         let mut state = self.state();
+        if self.begin_era(&mut state, part) && part == StorePart::Members {
+            state.list_recovery.record_return(self.clock.uptime());
+        }
         match part {
             StorePart::Operator => self.activate_operator(&mut state),
             StorePart::Members => self.activate_members(&mut state),
         }
     }
 
+    /// Records the era of the replica of `part`, and returns whether it is a later one than that of
+    /// the active contents.
+    fn begin_era(&self, state: &mut GatewayState, part: StorePart) -> bool {
+        let position = part.replica(state).position();
+        let era = position.era;
+        let has_returned = state.active_eras.insert(part, era).is_some_and(|active| active < era);
+        if has_returned {
+            info!(target: "decision", part:%, position:%; "the store came back from a copy of itself");
+            metrics::counter!("fulmarhead_store_returns_total", "part" => <&str>::from(part))
+                .increment(1);
+        }
+        has_returned
+    }
+
     fn activate_operator(&self, state: &mut GatewayState) {
         let zones = evacuated_zones(state.config_replica.items());
         if zones != state.pool.summary().excluded_zones {
--- a/lib/src/replica/recovery.rs
+++ b/lib/src/replica/recovery.rs
@@ -1,4 +1,4 @@
-//! Recovery of the list of targets after the store was unavailable.
+//! Recovery of the list of targets after the store was unavailable or came back from a copy.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 const MISSED_HEARTBEATS: u32 = 2;
 
 /// Tells whether targets that are missing from the list may be live ones, whose entries lapsed while
-/// the store was unavailable.
+/// the store was unavailable, or who registered after the copy that the store has come back from.
 ///
 /// Failed calls of an entry do not show that: its own link may be cut while the targets reach the
 /// store. A list that no entry could confirm for as long as entries take to lapse does. Times are
@@ -40,6 +40,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Records that a list of a store that has come back from a copy is in use from `at` on.
+    pub fn record_return(&mut self, at: Duration) {
+        self.recovered_at = Some(at);
+    }
+
     /// Returns the time from `now` on for which targets that are missing from the list may be live.
     pub fn remaining(&self, now: Duration) -> Duration {
         let recovered_at = match self.is_interrupted(now) {
--- a/lib/tests/replica.rs
+++ b/lib/tests/replica.rs
@@ -52,6 +52,19 @@
     assert_eq!(recovery.remaining(Duration::from_millis(now)), Duration::from_millis(expected));
 }
 
+/// Guards against a return that is not noticed because the store was away too briefly for records to
+/// lapse, and a grace period that later lists prolong.
+#[test]
+fn return_from_a_copy_begins_a_recovery() {
+    let at = Duration::from_millis;
+    let mut recovery = ListRecovery::new(at(1_200));
+    recovery.confirm(at(1_000));
+    recovery.record_return(at(1_500));
+    recovery.confirm(at(2_100));
+    assert_eq!(recovery.remaining(at(2_500)), at(1_300));
+    assert_eq!(recovery.remaining(at(3_800)), Duration::ZERO);
+}
+
 cases! {
     check_recovery {
         never_read: (&[], 5_000, 0),
