--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -17,7 +17,8 @@
     pub(crate) fn activate(&self, part: StorePart) {
         let mut state = self.state();
         if self.begin_era(&mut state, part) && part == StorePart::Members {
-            state.list_recovery.record_return(self.clock.uptime());
+            let outdated_for = state.list_recovery.record_return(self.clock.uptime());
+            state.pool.record_return(outdated_for, self.clock.now());
         }
         match part {
             StorePart::Operator => self.activate_operator(&mut state),
--- a/lib/src/placement/forecast.rs
+++ b/lib/src/placement/forecast.rs
@@ -1,8 +1,8 @@
 //! Forecast of when an engine can begin a request, from the loads of the engines and their model.
 
 use super::{
-    Choice, MemberState, Pool, RequestProfile, TargetLoad, Work, load::loaded_pass_ms,
-    room::PrefillRoom, selection::MAX_HELPERS, target::Target,
+    Choice, Pool, RequestProfile, TargetLoad, Work, load::loaded_pass_ms, room::PrefillRoom,
+    selection::MAX_HELPERS, target::Target,
 };
 use crate::routes::{EngineModel, Service};
 use std::time::{Duration, Instant};
@@ -181,10 +181,9 @@
 
     /// Returns whether `target` may get requests.
     fn accepts_requests(&self, id: &str, target: &Target, now: Instant) -> bool {
-        target.member.state == MemberState::Ready
+        target.is_listed_ready(now)
             && !self.notices.is_leaving(id, target.member.started_at)
             && !self.excluded_zones.contains(&target.member.zone)
-            && (target.missing_until.is_none() || target.is_in_grace(now))
     }
 
     /// Returns the wait until an engine with `load` has a slot, memory for `tokens`, and no prefill
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod cost;
 mod demand;
+mod departures;
 mod forecast;
 mod health;
 mod load;
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -3,8 +3,8 @@
 use super::{
     AttemptResult, Choice, ConnectionId, LimitSummary, LoadDelta, Member, MemberState, Notice,
     NoticeEffect, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
-    forecast::RecentWork, notices::Notices, outages::Outages, reports::Reports,
-    request_limits::RequestLimits, target::Target,
+    departures::Departures, forecast::RecentWork, notices::Notices, outages::Outages,
+    reports::Reports, request_limits::RequestLimits, target::Target,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
@@ -23,6 +23,7 @@
     pub(super) targets: BTreeMap<TargetId, Target>,
     pub(super) reports: Reports,
     pub(super) excluded_zones: BTreeSet<ZoneId>,
+    departures: Departures,
     pub(super) notices: Notices,
     pub(super) request_limits: RequestLimits,
     pub(super) outages: Outages,
@@ -56,6 +57,7 @@
             targets: BTreeMap::new(),
             reports: Reports::default(),
             excluded_zones: BTreeSet::new(),
+            departures: Departures::default(),
             notices: Notices::default(),
             request_limits: RequestLimits::default(),
             outages: Outages::default(),
@@ -77,20 +79,40 @@
         now: Instant,
     ) {
         for (id, target) in &mut self.targets {
-            match members.get(id) {
-                Some(member) => target.update_member(member),
+            let is_same_run = |it: &&Member| it.started_at == target.member.started_at;
+            let listed = members.get(id);
+            match listed.filter(|it| is_same_run(it) || !self.departures.is_outdated(it, now)) {
+                Some(member) => {
+                    if !is_same_run(&member) {
+                        self.departures.record(&target.member, now);
+                    }
+                    target.update_member(member);
+                }
                 None if !missing_grace.is_zero() => {
                     target.missing_until = Some(now + missing_grace)
                 }
                 None => target.member.state = MemberState::Draining,
             }
+            if target.member.state == MemberState::Draining {
+                self.departures.record(&target.member, now);
+            }
         }
         self.targets.retain(|id, target| members.contains_key(id) || !target.is_removable(now));
         for (id, member) in members {
-            self.targets.entry(id).or_insert_with(|| Target::new(member));
+            let target = self.targets.entry(id).or_insert_with(|| Target::new(member));
+            if target.member.state == MemberState::Ready && target.missing_until.is_none() {
+                target.withheld_until = self.departures.record_listing(&target.member, now);
+            }
         }
     }
 
+    /// Records that the store has come back from a copy at `now`, whose records of targets may be
+    /// outdated for the time `outdated_for`. Runs that are known to have left get no requests in that
+    /// time.
+    pub fn record_return(&mut self, outdated_for: Duration, now: Instant) {
+        self.departures.begin_return(now + outdated_for);
+    }
+
     /// Sets the zones whose targets get no new requests.
     pub fn exclude_zones(&mut self, zones: BTreeSet<ZoneId>) {
         self.excluded_zones = zones;
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -1,7 +1,7 @@
 //! Selection of a target for a request.
 
 use super::{
-    Backoff, Choice, Helper, MemberState, PlacementError, Pool, RequestProfile,
+    Backoff, Choice, Helper, PlacementError, Pool, RequestProfile,
     cost::{SLOT_SHARE_BEFORE_RESERVE, Score},
     demand::{busy_engines, packed_engines},
     load::PREFILL_TOLERANCE_MS,
@@ -241,10 +241,9 @@
 
     fn is_usable(&self, id: &str, target: &Target, service: &Service, now: Instant) -> bool {
         target.member.service == service.id
-            && target.member.state == MemberState::Ready
+            && target.is_listed_ready(now)
             && !self.notices.is_leaving(id, target.member.started_at)
             && !self.excluded_zones.contains(&target.member.zone)
-            && (target.missing_until.is_none() || target.is_in_grace(now))
     }
 
     fn score(
--- a/lib/src/placement/target.rs
+++ b/lib/src/placement/target.rs
@@ -1,6 +1,8 @@
 //! State of one target: its list entry, its requests in flight and its health.
 
-use super::{Health, Member, TargetLoad, load::InFlight, observed::Observation, pace::Pace};
+use super::{
+    Health, Member, MemberState, TargetLoad, load::InFlight, observed::Observation, pace::Pace,
+};
 use crate::{
     ids::TargetId,
     limits::{StartBound, StartWindow},
@@ -17,6 +19,8 @@
     pub(super) order_key: u64,
     /// Time until which the target is usable although it is missing from the list.
     pub(super) missing_until: Option<Instant>,
+    /// Time until which the target gets no requests, as its record may be older than its departure.
+    pub(super) withheld_until: Option<Instant>,
     /// Work that this entry has in flight at the target.
     pub(super) in_flight: InFlight,
     pub(super) health: Health,
@@ -38,6 +42,7 @@
             member,
             order_key,
             missing_until: None,
+            withheld_until: None,
             in_flight,
             health,
             recent_starts,
@@ -59,6 +64,13 @@
         self.missing_until = None;
     }
 
+    /// Returns whether the list says at `now` that the target accepts requests.
+    pub(super) fn is_listed_ready(&self, now: Instant) -> bool {
+        self.member.state == MemberState::Ready
+            && (self.missing_until.is_none() || self.is_in_grace(now))
+            && self.withheld_until.is_none_or(|until| now >= until)
+    }
+
     /// Returns the factor by which work takes longer at the target at `now`, at least 1.
     pub(super) fn slowness(&self, now: Instant) -> f64 {
         self.pace.slowness(self.in_flight.is_empty(), now)
--- a/lib/src/replica/recovery.rs
+++ b/lib/src/replica/recovery.rs
@@ -10,6 +10,12 @@
 /// intervals began with the last heartbeat before the store failed.
 const MISSED_HEARTBEATS: u32 = 2;
 
+/// Number of silent heartbeats after which the record of a target lapses.
+const RECORD_HEARTBEATS: u32 = 3;
+
+/// Time in which a lapsed record is removed at all entries.
+const LAPSE_DELAY: Duration = Duration::from_secs(1);
+
 /// Tells whether targets that are missing from the list may be live ones, whose entries lapsed while
 /// the store was unavailable, or who registered after the copy that the store has come back from.
 ///
@@ -20,6 +26,9 @@
 pub struct ListRecovery {
     /// Shortest time without the store in which entries lapse.
     lapse_time: Duration,
+    /// Time for which a list of a store that has come back from a copy can have records of targets
+    /// that have left.
+    outdated_time: Duration,
     confirmed_at: Option<Duration>,
     recovered_at: Option<Duration>,
 }
@@ -29,7 +38,8 @@
     /// `heartbeat`.
     pub fn new(heartbeat: Duration) -> Self {
         let lapse_time = heartbeat * MISSED_HEARTBEATS;
-        Self { lapse_time, confirmed_at: None, recovered_at: None }
+        let outdated_time = heartbeat * RECORD_HEARTBEATS + LAPSE_DELAY;
+        Self { lapse_time, outdated_time, confirmed_at: None, recovered_at: None }
     }
 
     /// Records that the list was up to date at `at`, as this entry or a peer has seen.
@@ -40,9 +50,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    /// Records that a list of a store that has come back from a copy is in use from `at` on.
-    pub fn record_return(&mut self, at: Duration) {
+    /// Records that a list of a store that has come back from a copy is in use from `at` on, and
+    /// returns for how long it can have records of targets that have left.
+    pub fn record_return(&mut self, at: Duration) -> Duration {
         self.recovered_at = Some(at);
+        self.outdated_time
     }
 
     /// Returns the time from `now` on for which targets that are missing from the list may be live.
--- a/lib/tests/placement/main.rs
+++ b/lib/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod choice;
 mod demand;
+mod departures;
 mod fixture;
 mod limit_division;
 mod limit_fleet;
