--- a/gateway/src/store/adopt.rs
+++ b/gateway/src/store/adopt.rs
@@ -16,9 +16,8 @@
     /// A configuration that is invalid or not newer than the active one is ignored.
     pub(crate) fn activate(&self, part: StorePart) {
         let mut state = self.state();
-        if self.begin_era(&mut state, part) && part == StorePart::Members {
-            let outdated_for = state.list_recovery.record_return(self.clock.uptime());
-            state.pool.record_return(outdated_for, self.clock.now());
+        if self.begin_era(&mut state, part) {
+            self.record_return(&mut state, part);
         }
         match part {
             StorePart::Operator => self.activate_operator(&mut state),
@@ -40,6 +39,19 @@
         has_returned
     }
 
+    /// Prepares for contents of a copy, which may lack what the operator and the targets have written
+    /// since.
+    fn record_return(&self, state: &mut GatewayState, part: StorePart) {
+        let now = self.clock.now();
+        match part {
+            StorePart::Operator => state.pool.keep_excluded_zones(now),
+            StorePart::Members => {
+                let outdated_for = state.list_recovery.record_return(self.clock.uptime());
+                state.pool.record_return(outdated_for, now);
+            }
+        }
+    }
+
     fn activate_operator(&self, state: &mut GatewayState) {
         let zones = evacuated_zones(state.config_replica.items());
         if zones != state.pool.summary().excluded_zones {
--- a/lib/src/placement/forecast.rs
+++ b/lib/src/placement/forecast.rs
@@ -183,7 +183,7 @@
     fn accepts_requests(&self, id: &str, target: &Target, now: Instant) -> bool {
         target.is_listed_ready(now)
             && !self.notices.is_leaving(id, target.member.started_at)
-            && !self.excluded_zones.contains(&target.member.zone)
+            && !self.excluded_zones.contains(&target.member.zone, now)
     }
 
     /// Returns the wait until an engine with `load` has a slot, memory for `tokens`, and no prefill
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -21,6 +21,7 @@
 mod selection;
 mod spread;
 mod target;
+mod zones;
 
 pub use self::{
     choice::{Backoff, Choice, Helper, PlacementError},
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -4,7 +4,7 @@
     AttemptResult, Choice, ConnectionId, LimitSummary, LoadDelta, Member, MemberState, Notice,
     NoticeEffect, ReportSource, TargetLoad, Work, WorkId, demand::RecentSends,
     departures::Departures, forecast::RecentWork, notices::Notices, outages::Outages,
-    reports::Reports, request_limits::RequestLimits, target::Target,
+    reports::Reports, request_limits::RequestLimits, target::Target, zones::ExcludedZones,
 };
 use crate::{
     ids::{ServiceId, TargetId, ZoneId},
@@ -22,7 +22,7 @@
     pub(super) start_bound: StartBound,
     pub(super) targets: BTreeMap<TargetId, Target>,
     pub(super) reports: Reports,
-    pub(super) excluded_zones: BTreeSet<ZoneId>,
+    pub(super) excluded_zones: ExcludedZones,
     departures: Departures,
     pub(super) notices: Notices,
     pub(super) request_limits: RequestLimits,
@@ -56,7 +56,7 @@
             start_bound,
             targets: BTreeMap::new(),
             reports: Reports::default(),
-            excluded_zones: BTreeSet::new(),
+            excluded_zones: ExcludedZones::default(),
             departures: Departures::default(),
             notices: Notices::default(),
             request_limits: RequestLimits::default(),
@@ -115,7 +115,14 @@
 
     /// Sets the zones whose targets get no new requests.
     pub fn exclude_zones(&mut self, zones: BTreeSet<ZoneId>) {
-        self.excluded_zones = zones;
+        self.excluded_zones.replace(zones);
+    }
+
+    /// Records that the store has come back from a copy at `now`, which may lack zones that the
+    /// operator has taken out of service. They stay excluded until the operator has written them
+    /// again, at most for some seconds.
+    pub fn keep_excluded_zones(&mut self, now: Instant) {
+        self.excluded_zones.record_return(now);
     }
 
     /// Applies the changes of the loads of `source` that were received on `connection`.
@@ -270,7 +277,7 @@
         }
         PoolSummary {
             targets,
-            excluded_zones: self.excluded_zones.clone(),
+            excluded_zones: self.excluded_zones.listed().clone(),
             request_limits: self.limit_summaries(),
             reports: self.reports.source_count(),
         }
--- a/lib/src/placement/selection.rs
+++ b/lib/src/placement/selection.rs
@@ -243,7 +243,7 @@
         target.member.service == service.id
             && target.is_listed_ready(now)
             && !self.notices.is_leaving(id, target.member.started_at)
-            && !self.excluded_zones.contains(&target.member.zone)
+            && !self.excluded_zones.contains(&target.member.zone, now)
     }
 
     fn score(
