--- a/gateway/src/peers/exchange.rs
+++ b/gateway/src/peers/exchange.rs
@@ -1,6 +1,6 @@
 //! Builds the messages that entries exchange and applies those received.
 
-use super::protocol::{ExchangeRequest, ExchangeResponse, ReplicaStatus};
+use super::protocol::{ExchangeRequest, ExchangeResponse, ProtocolVersion, ReplicaStatus};
 use crate::{
     gateway::{Gateway, GatewayState},
     store::StorePart,
@@ -110,6 +110,7 @@
         let peer_differs = session.peer_roster.is_some_and(|digest| digest != roster.digest());
         ExchangeRequest {
             entry: self.settings.vm_name.clone(),
+            version: ProtocolVersion,
             address: self.settings.control_address,
             info: roster.own_info().clone(),
             link: session.link,
--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -9,18 +9,46 @@
     quarantine::News,
     replica::{Delta, Position},
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Maximum size of a message, in bytes: complete copies of both parts of the store (8 MiB each at
 /// most, see [`fulmarhead_platform::MAX_SNAPSHOT_BYTES`]), the entries and their loads.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 20 << 20;
 
+/// Number of the present version of the messages.
+///
+/// The version follows the name of the entry, in place of the kind of an address in requests without
+/// one, of which it is no valid number. An entry of either version then refuses the other's requests
+/// instead of decoding the rest as something else.
+const VERSION: u32 = 2;
+
+/// Version of the messages. Only the present one can be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ProtocolVersion;
+
+impl Serialize for ProtocolVersion {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u32(VERSION)
+    }
+}
+
+impl<'de> Deserialize<'de> for ProtocolVersion {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        match u32::deserialize(deserializer)? {
+            VERSION => Ok(Self),
+            other => Err(D::Error::custom(format_args!("messages of version {other}"))),
+        }
+    }
+}
+
 /// Request of an exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct ExchangeRequest {
     /// Name of the requesting entry.
     pub(crate) entry: EntryId,
+    /// Version of the messages.
+    pub(crate) version: ProtocolVersion,
     /// Control address of the requesting entry.
     pub(crate) address: SocketAddr,
     /// Properties of the requesting entry.
