--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -247,13 +247,7 @@
         });
     }
     let elapsed = now.saturating_duration_since(context.received_at);
-    record::attempt_failed(
-        &context.head,
-        call.target(),
-        work.progress(),
-        &error.to_string(),
-        elapsed,
-    );
+    record::attempt_failed(context, call.target(), work.progress(), &error.to_string(), elapsed);
     match error.is_unsent() {
         true => FailedAttempt::new(call.record_not_sent(), failure),
         false => FailedAttempt::new(call.record_lost(), failure),
@@ -280,7 +274,7 @@
         return Ok(TargetResponse { call, choice, head, headers, body, work, connection });
     }
     let elapsed = context.elapsed();
-    record::response_discarded(&context.head, call.target(), verdict, elapsed);
+    record::response_discarded(context, call.target(), verdict, elapsed);
     if let Some(helper) = failed_helper(verdict, &choice, head.refused_by) {
         record::helper_failed(&context.head.request_id, call.target(), &helper.target);
         let now = context.gateway.clock.now();
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -84,7 +84,7 @@
         work.set_result(AttemptResult::Failed);
     }
     let (target, progress) = (call.target(), work.progress());
-    record::attempt_failed(&context.head, target, progress, &reason, context.elapsed());
+    record::attempt_failed(context, target, progress, &reason, context.elapsed());
     Err(FailedAttempt { call: call.record_lost(), failure, retry_after: None })
 }
 
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -299,7 +299,7 @@
     }
     let progress = work.progress();
     drop(work);
-    record::attempt_failed(&context.head, &target, progress, failure.into(), context.elapsed());
+    record::attempt_failed(context, &target, progress, failure.into(), context.elapsed());
     let mut call = call.record_lost();
     if failure == Failure::Stopping {
         return None;
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use fulmarhead_lib::{
     forward::{Call, Failure, FailureOutcome, ResponseHead, Unsent},
+    ids::ContentDigest,
     placement::RequestProfile,
+    quarantine::Content,
     request::Deadline,
     routes::{Denial, RouteMatch, RouteTable, Service},
 };
@@ -24,6 +26,7 @@
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
+    http::uri::PathAndQuery,
 };
 use rand::RngExt;
 use std::{
@@ -69,6 +72,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Digest of the content, which repeats of the request share.
+    pub(super) content: ContentDigest,
     pub(super) profile: RequestProfile,
     /// Whether the route's responses are event streams.
     pub(super) streaming: bool,
@@ -177,7 +182,15 @@
     if stop.is_some_and(|stop| !stop.admits(route_match.route.retry_policy, deadline, now)) {
         return refuse_unsent(&gateway, &head, Failure::Stopping, received_at);
     }
+    let content = Content {
+        method: parts.method.as_str(),
+        host: &head.host,
+        path: parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+        team: route_match.team.as_deref(),
+        body: &body,
+    };
     let context = RequestContext {
+        content: content.digest(),
         profile: request_profile(&head, &route_match),
         streaming: route_match.route.streaming,
         route_timeout: route_match.route.timeout,
@@ -326,7 +339,7 @@
         let Some(refusal) = self.gateway.quarantine_refusal(&self.head.shared_parts) else {
             return DEFAULT_RETRY_DELAY;
         };
-        record::request_quarantined(&self.head.request_id, &refusal);
+        record::request_quarantined(self, &refusal);
         refusal.remaining
     }
 
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -1,5 +1,6 @@
 //! Writes the outcome of each request to the log and the metrics.
 
+use super::handle::RequestContext;
 use crate::quarantine::parts_text;
 use fulmarhead_lib::{
     forward::{EventError, FailureOutcome, Progress, Verdict},
@@ -30,10 +31,10 @@
     );
 }
 
-/// Records an attempt that ended without a response for the caller. The parts of the prompt show
-/// what requests that fail in the same way have in common.
+/// Records an attempt that ended without a response for the caller. The parts of the prompt and the
+/// digest of the content show what requests that fail in the same way have in common.
 pub(super) fn attempt_failed(
-    head: &RequestHead,
+    context: &RequestContext,
     target: &str,
     progress: Progress,
     reason: &str,
@@ -41,23 +42,24 @@
 ) {
     metrics::counter!("fulmarhead_attempts_failed_total", "reason" => reason.to_owned())
         .increment(1);
-    let request = &*head.request_id;
+    let request = &*context.head.request_id;
     let progress = <&'static str>::from(progress);
-    let (parts, after_ms) = (parts_text(&head.shared_parts), millis(elapsed));
+    let (parts, after_ms) = (parts_text(&context.head.shared_parts), millis(elapsed));
+    let content = format!("{:x}", context.content);
     info!(
-        target: "decision", request, backend = target, progress, parts, reason, after_ms;
+        target: "decision", request, backend = target, progress, parts, content, reason, after_ms;
         "attempt failed"
     );
 }
 
 /// Records a target's response that the gateway does not pass to the caller.
 pub(super) fn response_discarded(
-    head: &RequestHead,
+    context: &RequestContext,
     target: &str,
     verdict: Verdict,
     elapsed: Duration,
 ) {
-    attempt_failed(head, target, Progress::Waiting, verdict.into(), elapsed);
+    attempt_failed(context, target, Progress::Waiting, verdict.into(), elapsed);
 }
 
 /// Records that a target did not run a request because its helper `helper` failed.
@@ -114,9 +116,11 @@
 
 /// Records a request that is refused, or whose attempt was ended, because parts of its prompt
 /// crash targets.
-pub(super) fn request_quarantined(request: &str, refusal: &Refusal) {
+pub(super) fn request_quarantined(context: &RequestContext, refusal: &Refusal) {
+    let request = &*context.head.request_id;
     let (parts, remaining_ms) = (parts_text(&refusal.parts), millis(refusal.remaining));
-    info!(target: "decision", request, parts, remaining_ms; "the prompt is quarantined");
+    let content = format!("{:x}", context.content);
+    info!(target: "decision", request, parts, content, remaining_ms; "the prompt is quarantined");
 }
 
 /// Records a request that the configuration denies.
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -8,6 +8,8 @@
 pub type AttemptNumber = u32;
 /// Number of a body that a process holds for a caller.
 pub type BodyId = u64;
+/// Digest of what a request and its repeats have in common.
+pub type ContentDigest = u64;
 /// Name of an entry.
 pub type EntryId = String;
 /// SHA-256 digest of a call, which distinguishes a retry from a different call with the same key.
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 //! refuse the part soon after a few crashes, whichever of them saw those.
 
 mod answers;
+mod content;
 mod crash;
 mod detection;
 mod evidence;
@@ -21,6 +22,7 @@
 use strum::EnumIter;
 
 pub use self::{
+    content::Content,
     crash::{CrashId, RequestLoss},
     hold::Refusal,
     news::{AnswerNews, CrashNews, HoldNews, News, Version},
