--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -1,7 +1,7 @@
 //! State that a gateway reports to operators.
 
 use crate::{gateway::Gateway, quarantine::parts_text};
-use fulmarhead_lib::quarantine::PartSet;
+use fulmarhead_lib::quarantine::FeatureSet;
 use fulmarhead_runtime::ops::StateDump;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,7 +24,7 @@
         let limits: BTreeMap<_, _> = limits.collect();
         let quarantine = state.quarantine.summary();
         let encode =
-            |sets: &BTreeSet<PartSet>| -> Vec<String> { sets.iter().map(parts_text).collect() };
+            |sets: &BTreeSet<FeatureSet>| -> Vec<String> { sets.iter().map(parts_text).collect() };
         json!({
             "node": self.settings.vm_name,
             "zone": self.settings.zone,
--- a/gateway/src/quarantine/decisions.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -4,49 +4,50 @@
 use crate::gateway::Gateway;
 use fulmarhead_lib::{
     forward::Progress,
-    ids::PromptPartId,
     placement::Choice,
-    quarantine::{AnswerStage, CrashId, Detection, News, PartSet, Refusal, RequestLoss},
+    quarantine::{
+        AnswerStage, CrashId, Detection, Feature, FeatureSet, News, Refusal, RequestLoss,
+    },
 };
 use log::{info, warn};
 use std::time::Instant;
 
 impl Gateway {
-    /// Returns why a request with `parts` must not be sent, if that is so.
-    pub(crate) fn quarantine_refusal(&self, parts: &PartSet) -> Option<Refusal> {
-        self.state().quarantine.refusal(parts, self.clock.now())
+    /// Returns why a request with `features` must not be sent, if that is so.
+    pub(crate) fn quarantine_refusal(&self, features: &FeatureSet) -> Option<Refusal> {
+        self.state().quarantine.refusal(features, self.clock.now())
     }
 
-    /// Waits until one of `parts` is quarantined.
-    pub(crate) async fn wait_quarantined(&self, parts: &PartSet) {
+    /// Waits until one of `features` is quarantined.
+    pub(crate) async fn wait_quarantined(&self, features: &FeatureSet) {
         let mut updates = self.quarantine_updates.subscribe();
-        while !self.state().quarantine.is_held(parts) {
-            if parts.is_empty() || updates.changed().await.is_err() {
+        while !self.state().quarantine.is_held(features) {
+            if features.is_empty() || updates.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
         }
     }
 
-    /// Returns whether a request with `parts`, which lost its target as that began to answer,
+    /// Returns whether a request with `features`, which lost its target as that began to answer,
     /// should not be sent to another one.
-    pub(crate) fn is_suspected(&self, parts: &PartSet) -> bool {
-        self.state().quarantine.is_suspected(parts, self.clock.now())
+    pub(crate) fn is_suspected(&self, features: &FeatureSet) -> bool {
+        self.state().quarantine.is_suspected(features, self.clock.now())
     }
 
-    /// Records that the answer to a request with `parts` has reached `stage`, so that they do not
-    /// crash its target.
-    pub(crate) fn record_stage(&self, stage: AnswerStage, parts: &PartSet) {
-        self.state().quarantine.record_stage(stage, parts, self.clock.now());
+    /// Records that the answer to a request with `features` has reached `stage`, so that they do
+    /// not crash its target.
+    pub(crate) fn record_stage(&self, stage: AnswerStage, features: &FeatureSet) {
+        self.state().quarantine.record_stage(stage, features, self.clock.now());
     }
 
-    /// Reports that the connection to the target of a request with `parts` was lost, which may be a
-    /// crash.
-    pub(crate) fn report_loss(&self, choice: &Choice, progress: Progress, parts: &PartSet) {
-        if parts.is_empty() || progress == Progress::Streaming {
+    /// Reports that the connection to the target of a request with `features` was lost, which may
+    /// be a crash.
+    pub(crate) fn report_loss(&self, choice: &Choice, progress: Progress, features: &FeatureSet) {
+        if features.is_empty() || progress == Progress::Streaming {
             return;
         }
         let crash = CrashId { target: choice.target.clone(), started_at: choice.started_at };
-        let loss = RequestLoss { crash, progress, parts: parts.clone() };
+        let loss = RequestLoss { crash, progress, features: features.clone() };
         let (address, at) = (choice.address, self.clock.now());
         self.loss_sender.send(LossReport { loss, address, at });
     }
@@ -71,12 +72,12 @@
         if detections.is_empty() {
             return;
         }
-        for Detection { parts, targets, spell } in detections {
+        for Detection { features, targets, spell } in detections {
             metrics::counter!("fulmarhead_quarantined_parts_total").increment(1);
-            let (parts, crashes) = (parts_text(&parts), targets.len());
-            let targets = targets.join(",");
+            let (parts, contents) = (parts_text(&features), contents_text(&features));
+            let (crashes, targets) = (targets.len(), targets.join(","));
             warn!(
-                target: "decision", parts, spell, crashes, targets;
+                target: "decision", parts, contents, spell, crashes, targets;
                 "quarantined parts of prompts that crash targets"
             );
         }
@@ -109,14 +110,30 @@
     }
 }
 
-/// Maximum number of parts that are written in one line of a log.
-const MAX_LOGGED_PARTS: usize = 64;
+/// Maximum number of features that are written in one line of a log.
+const MAX_LOGGED_FEATURES: usize = 64;
 
-/// Returns the parts as they are written in logs and dumps. Of many, the first ones are written,
-/// and how many more there are.
-pub(crate) fn parts_text(parts: &PartSet) -> String {
-    let logged = parts.iter().take(MAX_LOGGED_PARTS).map(|part: &PromptPartId| format!("{part:x}"));
-    let omitted = parts.len().saturating_sub(MAX_LOGGED_PARTS);
+/// Returns the parts of prompts among `features` as they are written in logs and dumps. Of many,
+/// the first ones are written, and how many more there are.
+pub(crate) fn parts_text(features: &FeatureSet) -> String {
+    ids_text(features, |feature| match feature {
+        Feature::Part(part) => Some(*part),
+        Feature::Content(_) => None,
+    })
+}
+
+/// Returns the digests of contents among `features` in the same way.
+fn contents_text(features: &FeatureSet) -> String {
+    ids_text(features, |feature| match feature {
+        Feature::Content(content) => Some(*content),
+        Feature::Part(_) => None,
+    })
+}
+
+fn ids_text(features: &FeatureSet, id: impl Fn(&Feature) -> Option<u64>) -> String {
+    let ids: Vec<u64> = features.iter().filter_map(id).collect();
+    let logged = ids.iter().take(MAX_LOGGED_FEATURES).map(|id| format!("{id:x}"));
+    let omitted = ids.len().saturating_sub(MAX_LOGGED_FEATURES);
     let omitted = (omitted > 0).then(|| format!("and {omitted} more"));
     logged.chain(omitted).collect::<Vec<String>>().join(",")
 }
--- a/gateway/src/serve/attempt.rs
+++ b/gateway/src/serve/attempt.rs
@@ -70,11 +70,11 @@
     call: Call<Unsent>,
     last_event: Option<u64>,
 ) -> Result<TargetResponse, FailedAttempt> {
-    let (gateway, parts) = (&context.gateway, &context.head.shared_parts);
+    let (gateway, features) = (&context.gateway, &context.features);
     if gateway.end_requests.is_cancelled() {
         return Err(FailedAttempt::new(call, Failure::Stopping));
     }
-    if gateway.quarantine_refusal(parts).is_some() {
+    if gateway.quarantine_refusal(features).is_some() {
         return Err(FailedAttempt::new(call, Failure::Quarantined));
     }
     let (route_match, service) = match context.select_service() {
@@ -107,7 +107,7 @@
     if !gateway.state().pool.wants_requests(&choice, now) {
         return Err(FailedAttempt::new(call, Failure::Overloaded));
     }
-    if gateway.state().quarantine.begin_send(parts, now).is_err() {
+    if gateway.state().quarantine.begin_send(features, now).is_err() {
         return Err(FailedAttempt::new(call, Failure::Quarantined));
     }
     let mut work = InFlightWork::begin(context, &service, &choice, leases);
@@ -127,14 +127,14 @@
     let result = tokio::select! {
         biased;
         result = send => result,
-        () = gateway.wait_quarantined(parts) => Err(SendError::Quarantined),
+        () = gateway.wait_quarantined(features) => Err(SendError::Quarantined),
         () = gateway.end_requests.cancelled() => Err(SendError::Stopping),
     };
     let open_response = match result {
         Ok(open_response) => open_response,
         Err(error) => {
             if matches!(error, SendError::Lost(_)) {
-                gateway.report_loss(&choice, Progress::Waiting, parts);
+                gateway.report_loss(&choice, Progress::Waiting, features);
             }
             return Err(fail_attempt(context, call, &mut work, &error));
         }
--- a/gateway/src/serve/buffered.rs
+++ b/gateway/src/serve/buffered.rs
@@ -44,7 +44,7 @@
     let TargetResponse { call, choice, head, headers, body, mut work, connection } =
         target_response;
     work.record_activity();
-    let parts = &context.head.shared_parts;
+    let features = &context.features;
     let result = tokio::select! {
         biased;
         result = read_body(context, &call, body) => result,
@@ -52,8 +52,10 @@
     };
     drop(connection);
     match result {
-        Ok(_) if head.is_success() => context.gateway.record_stage(AnswerStage::Sustained, parts),
-        Err(BodyReadError::Lost) => context.gateway.report_loss(&choice, work.progress(), parts),
+        Ok(_) if head.is_success() => {
+            context.gateway.record_stage(AnswerStage::Sustained, features)
+        }
+        Err(BodyReadError::Lost) => context.gateway.report_loss(&choice, work.progress(), features),
         _ => {}
     }
     let (failure, reason) = match result {
--- a/gateway/src/serve/events.rs
+++ b/gateway/src/serve/events.rs
@@ -11,7 +11,7 @@
 use fulmarhead_lib::{
     forward::{EventError, EventRun, Failure, Progress, Pushed, Silent, StreamPosition, Writing},
     placement::AttemptResult,
-    quarantine::{AnswerStage, PartSet},
+    quarantine::{AnswerStage, FeatureSet},
 };
 use fulmarhead_platform::caller_response_headers;
 use fulmarhead_runtime::http::EventMemory;
@@ -34,8 +34,8 @@
     response
 }
 
-/// Parts of a request that goes on even if a part of its prompt is quarantined.
-static NO_PARTS: PartSet = PartSet::new();
+/// Features of a request that goes on even if one of its features is quarantined.
+static NO_FEATURES: FeatureSet = FeatureSet::new();
 
 /// What a run of a target has written first.
 enum FirstRead {
@@ -143,7 +143,7 @@
     }
     times.last_chunk = Some(now);
     if let Some(stage) = target_response.work.record_events() {
-        context.gateway.record_stage(stage, &context.head.shared_parts);
+        context.gateway.record_stage(stage, &context.features);
     }
 }
 
@@ -154,7 +154,7 @@
 ) {
     target_response.work.set_result(AttemptResult::Answered);
     if let Some(stage) = target_response.work.record_stage(AnswerStage::Sustained) {
-        context.gateway.record_stage(stage, &context.head.shared_parts);
+        context.gateway.record_stage(stage, &context.features);
     }
     let (request, target) = (&context.head.request_id, target_response.call.target());
     let times = ResponseTimes { total: context.elapsed(), ..times.response };
@@ -165,8 +165,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the response can't be read, its first bytes are no event in order, or it ends
-/// although the stream may not be complete.
+/// Returns an error if the response can't be read, its first bytes are no event in order, or it
+/// ends although the stream may not be complete.
 async fn read_first(
     context: &RequestContext,
     target_response: &mut TargetResponse,
@@ -235,8 +235,8 @@
 /// # Errors
 ///
 /// Returns an error if the connection failed, the deadline passed, a part of the prompt was
-/// quarantined, or this entry is about to end. Silence is an error only if the stream can be resumed
-/// at another target.
+/// quarantined, or this entry is about to end. Silence is an error only if the stream can be
+/// resumed at another target.
 async fn read_bytes(
     context: &RequestContext,
     target_response: &mut TargetResponse,
@@ -244,9 +244,9 @@
 ) -> Result<Option<Bytes>, Failure> {
     let clock = &context.gateway.clock;
     // A request whose answer goes on for some time does not crash its target.
-    let unanswered_parts = match target_response.work.progress() {
-        Progress::Streaming => &NO_PARTS,
-        Progress::Waiting | Progress::Begun | Progress::Started => &context.head.shared_parts,
+    let unanswered = match target_response.work.progress() {
+        Progress::Streaming => &NO_FEATURES,
+        Progress::Waiting | Progress::Begun | Progress::Started => &context.features,
     };
     let mut silence_end = last_event + context.silence_timeout();
     loop {
@@ -260,7 +260,7 @@
         let frame = tokio::select! {
             biased;
             frame = frame => frame,
-            () = context.gateway.wait_quarantined(unanswered_parts) => {
+            () = context.gateway.wait_quarantined(unanswered) => {
                 return Err(Failure::Quarantined);
             }
             () = context.gateway.end_requests.cancelled() => return Err(Failure::Stopping),
@@ -306,10 +306,10 @@
     }
     // A stream without a length ends without an error when its target crashes.
     if matches!(failure, Failure::ConnectionLost | Failure::BadAnswer) {
-        let parts = &context.head.shared_parts;
-        context.gateway.report_loss(&choice, progress, parts);
+        let features = &context.features;
+        context.gateway.report_loss(&choice, progress, features);
         if matches!(progress, Progress::Begun | Progress::Started)
-            && context.gateway.is_suspected(parts)
+            && context.gateway.is_suspected(features)
         {
             return None;
         }
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -16,7 +16,7 @@
     forward::{Call, Failure, FailureOutcome, ResponseHead, Unsent},
     ids::ContentDigest,
     placement::RequestProfile,
-    quarantine::Content,
+    quarantine::{Content, Feature, FeatureSet},
     request::Deadline,
     routes::{Denial, RouteMatch, RouteTable, Service},
 };
@@ -74,6 +74,8 @@
     pub(super) body: Bytes,
     /// Digest of the content, which repeats of the request share.
     pub(super) content: ContentDigest,
+    /// Features by which the request can be quarantined.
+    pub(super) features: FeatureSet,
     pub(super) profile: RequestProfile,
     /// Whether the route's responses are event streams.
     pub(super) streaming: bool,
@@ -189,8 +191,10 @@
         team: route_match.team.as_deref(),
         body: &body,
     };
+    let content = content.digest();
     let context = RequestContext {
-        content: content.digest(),
+        features: head.shared_parts.iter().copied().map(Feature::Part).collect(),
+        content,
         profile: request_profile(&head, &route_match),
         streaming: route_match.route.streaming,
         route_timeout: route_match.route.timeout,
@@ -336,7 +340,7 @@
     /// Records which parts of the prompt are quarantined, and returns the time until a request with
     /// them may be sent again.
     fn record_quarantine(&self) -> Duration {
-        let Some(refusal) = self.gateway.quarantine_refusal(&self.head.shared_parts) else {
+        let Some(refusal) = self.gateway.quarantine_refusal(&self.features) else {
             return DEFAULT_RETRY_DELAY;
         };
         record::request_quarantined(self, &refusal);
--- a/gateway/src/serve/record.rs
+++ b/gateway/src/serve/record.rs
@@ -44,7 +44,7 @@
         .increment(1);
     let request = &*context.head.request_id;
     let progress = <&'static str>::from(progress);
-    let (parts, after_ms) = (parts_text(&context.head.shared_parts), millis(elapsed));
+    let (parts, after_ms) = (parts_text(&context.features), millis(elapsed));
     let content = format!("{:x}", context.content);
     info!(
         target: "decision", request, backend = target, progress, parts, content, reason, after_ms;
@@ -118,7 +118,7 @@
 /// crash targets.
 pub(super) fn request_quarantined(context: &RequestContext, refusal: &Refusal) {
     let request = &*context.head.request_id;
-    let (parts, remaining_ms) = (parts_text(&refusal.parts), millis(refusal.remaining));
+    let (parts, remaining_ms) = (parts_text(&refusal.features), millis(refusal.remaining));
     let content = format!("{:x}", context.content);
     info!(target: "decision", request, parts, content, remaining_ms; "the prompt is quarantined");
 }
--- a/lib/src/quarantine/content.rs
+++ b/lib/src/quarantine/content.rs
@@ -4,8 +4,8 @@
 use std::hash::Hasher;
 use twox_hash::XxHash64;
 
-/// What a request and its repeats have in common, whichever entry they reach. Identifiers of attempts
-/// and time limits are not part of it.
+/// What a request and its repeats have in common, whichever entry they reach. Identifiers of
+/// attempts and time limits are not part of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Content<'a> {
     /// HTTP method.
--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -1,26 +1,23 @@
-//! One crash of a target, and the parts of the requests that may have caused it.
+//! One crash of a target, and the features of the requests that may have caused it.
 
-use super::{AnswerStage, PartSet, Version};
-use crate::{
-    forward::Progress,
-    ids::{PromptPartId, TargetId},
-};
+use super::{AnswerStage, Feature, FeatureSet, Version};
+use crate::{forward::Progress, ids::TargetId};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant, SystemTime};
 
-/// Time after which a crash counts for requests other than those whose answers had begun without any
-/// event. Until then, another entry may report that there was one, and a sound part that was started
-/// elsewhere at the time of the crash is acquitted.
+/// Time after which a crash counts for requests other than those whose answers had begun without
+/// any event. Until then, another entry may report that there was one, and a sound feature that was
+/// started elsewhere at the time of the crash is acquitted.
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 
-/// Weight of a crash for a part of a request whose answer had begun without any event.
+/// Weight of a crash for a feature of a request whose answer had begun without any event.
 pub(super) const BEGUN_WEIGHT: u32 = 4;
 
-/// Weight of a crash for a part of a request whose first event had just arrived. A target serves
+/// Weight of a crash for a feature of a request whose first event had just arrived. A target serves
 /// several such requests at a time, so that more of them are victims.
 pub(super) const STARTED_WEIGHT: u32 = 3;
 
-/// Weight of a crash in which no answer had begun, for a part of a request that waited.
+/// Weight of a crash in which no answer had begun, for a feature of a request that waited.
 const WAITING_WEIGHT: u32 = 2;
 
 /// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
@@ -39,8 +36,8 @@
     pub crash: CrashId,
     /// How much of the answer had arrived.
     pub progress: Progress,
-    /// Parts of the prompt.
-    pub parts: PartSet,
+    /// Features of the request.
+    pub features: FeatureSet,
 }
 
 /// What is known about one crash.
@@ -48,11 +45,11 @@
 pub(super) struct Crash {
     pub(super) at: Instant,
     /// Parts of requests whose answers had begun without any event.
-    pub(super) begun: PartSet,
+    pub(super) begun: FeatureSet,
     /// Parts of requests whose first event had just arrived.
-    pub(super) started: PartSet,
+    pub(super) started: FeatureSet,
     /// Parts of requests of which no answer had begun.
-    pub(super) waiting: PartSet,
+    pub(super) waiting: FeatureSet,
     /// Whether the answer to any request had begun without any event. Those that waited are victims
     /// then, also after that request was answered elsewhere.
     pub(super) had_begun: bool,
@@ -64,21 +61,21 @@
     pub(super) fn new(at: Instant, version: Version) -> Self {
         Self {
             at,
-            begun: PartSet::new(),
-            started: PartSet::new(),
-            waiting: PartSet::new(),
+            begun: FeatureSet::new(),
+            started: FeatureSet::new(),
+            waiting: FeatureSet::new(),
             had_begun: false,
             version,
         }
     }
 
-    /// Adds the parts of a request that was lost after `progress`.
-    pub(super) fn add_loss(&mut self, progress: Progress, parts: PartSet) {
-        let parts = parts.into_iter();
+    /// Adds the features of a request that was lost after `progress`.
+    pub(super) fn add_loss(&mut self, progress: Progress, features: FeatureSet) {
+        let features = features.into_iter();
         match progress {
-            Progress::Begun => self.begun.extend(parts),
-            Progress::Started => self.started.extend(parts),
-            Progress::Waiting => self.waiting.extend(parts),
+            Progress::Begun => self.begun.extend(features),
+            Progress::Started => self.started.extend(features),
+            Progress::Waiting => self.waiting.extend(features),
             Progress::Streaming => return,
         }
         self.had_begun |= progress == Progress::Begun;
@@ -104,72 +101,75 @@
     }
 
     /// Returns those of `candidates` that may have caused the crash, with the weight of this
-    /// evidence. `is_silent` says whether no answer to a request with a part has begun for some time,
-    /// as if targets crash before they write.
+    /// evidence. `is_silent` says whether no answer to a request with a feature has begun for some
+    /// time, as if targets crash before they write.
     ///
     /// Requests that waited are suspects only if no answer had begun, since a target is more likely
     /// to crash at a request that it begins to answer.
     pub(super) fn suspects(
         &self,
-        candidates: &PartSet,
-        is_silent: impl Fn(PromptPartId) -> bool,
+        candidates: &FeatureSet,
+        is_silent: impl Fn(Feature) -> bool,
         now: Instant,
-    ) -> Vec<(PromptPartId, u32)> {
+    ) -> Vec<(Feature, u32)> {
         let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
-        let silent = |part: &&PromptPartId| candidates.contains(part) && is_silent(**part);
-        let begun: PartSet = self.begun.iter().filter(silent).copied().collect();
-        let mut suspects: Vec<_> = begun.iter().map(|part| (*part, BEGUN_WEIGHT)).collect();
+        let silent = |feature: &&Feature| candidates.contains(feature) && is_silent(**feature);
+        let begun: FeatureSet = self.begun.iter().filter(silent).copied().collect();
+        let mut suspects: Vec<_> = begun.iter().map(|feature| (*feature, BEGUN_WEIGHT)).collect();
         if settled {
             let is_started =
-                |part: &&PromptPartId| candidates.contains(part) && !begun.contains(part);
+                |feature: &&Feature| candidates.contains(feature) && !begun.contains(feature);
             let started = self.started.iter().filter(is_started);
-            suspects.extend(started.map(|part| (*part, STARTED_WEIGHT)));
+            suspects.extend(started.map(|feature| (*feature, STARTED_WEIGHT)));
             let waiting = self.waiting.iter().filter(silent);
-            suspects.extend(waiting.map(|part| (*part, WAITING_WEIGHT)));
+            suspects.extend(waiting.map(|feature| (*feature, WAITING_WEIGHT)));
         }
         suspects
     }
 
-    /// Returns whether the requests with the parts `held` may have caused the crash.
-    pub(super) fn is_explained_by(&self, held: &PartSet, now: Instant) -> bool {
+    /// Returns whether the requests with the features `held` may have caused the crash.
+    pub(super) fn is_explained_by(&self, held: &FeatureSet, now: Instant) -> bool {
         let settled = now.saturating_duration_since(self.at) >= SETTLING_TIME;
         self.was_answering_all(held) || (settled && held.is_subset(&self.waiting))
     }
 
-    /// Returns whether all of `parts` were in requests that the target was answering.
-    pub(super) fn was_answering_all(&self, parts: &PartSet) -> bool {
-        parts.iter().all(|part| self.begun.contains(part) || self.started.contains(part))
+    /// Returns whether all of `features` were in requests that the target was answering.
+    pub(super) fn was_answering_all(&self, features: &FeatureSet) -> bool {
+        features
+            .iter()
+            .all(|feature| self.begun.contains(feature) || self.started.contains(feature))
     }
 
-    /// Returns whether all of `parts` were in requests that were lost.
-    pub(super) fn involves_all(&self, parts: &PartSet) -> bool {
-        self.was_answering_all(parts) || parts.is_subset(&self.waiting)
+    /// Returns whether all of `features` were in requests that were lost.
+    pub(super) fn involves_all(&self, features: &FeatureSet) -> bool {
+        self.was_answering_all(features) || features.is_subset(&self.waiting)
     }
 
-    /// Removes `part` from the suspects as far as `stage` clears it, and returns whether it was one.
-    pub(super) fn clear(&mut self, part: PromptPartId, stage: AnswerStage) -> bool {
-        let was_started = stage == AnswerStage::Sustained && self.started.remove(&part);
-        let was_begun = self.begun.remove(&part) || self.waiting.remove(&part);
+    /// Removes `feature` from the suspects as far as `stage` clears it, and returns whether it was
+    /// one.
+    pub(super) fn clear(&mut self, feature: Feature, stage: AnswerStage) -> bool {
+        let was_started = stage == AnswerStage::Sustained && self.started.remove(&feature);
+        let was_begun = self.begun.remove(&feature) || self.waiting.remove(&feature);
         was_started || was_begun
     }
 
-    /// Returns whether `part` is recorded.
-    pub(super) fn contains(&self, part: PromptPartId) -> bool {
-        [&self.begun, &self.started, &self.waiting].iter().any(|set| set.contains(&part))
+    /// Returns whether `feature` is recorded.
+    pub(super) fn contains(&self, feature: Feature) -> bool {
+        [&self.begun, &self.started, &self.waiting].iter().any(|set| set.contains(&feature))
     }
 
-    /// Returns all parts that are recorded.
-    pub(super) fn parts(&self) -> impl Iterator<Item = PromptPartId> {
+    /// Returns all features that are recorded.
+    pub(super) fn features(&self) -> impl Iterator<Item = Feature> {
         self.begun.iter().chain(self.only_started()).chain(&self.waiting).copied()
     }
 
-    /// Returns the number of parts that are recorded.
+    /// Returns the number of features that are recorded.
     pub(super) fn suspect_count(&self) -> usize {
         self.begun.len() + self.started.len() + self.waiting.len()
     }
 
-    fn only_started(&self) -> impl Iterator<Item = &PromptPartId> {
-        self.started.iter().filter(|part| !self.begun.contains(part))
+    fn only_started(&self) -> impl Iterator<Item = &Feature> {
+        self.started.iter().filter(|feature| !self.begun.contains(feature))
     }
 
     /// Removes the requests that waited if they are no evidence.
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -1,66 +1,67 @@
-//! Detection of the parts that crash targets.
+//! Detection of the features that crash targets.
 
 use super::{
-    AnswerStage, Detection, PartSet, Quarantine,
+    AnswerStage, Detection, Feature, FeatureSet, Quarantine,
     crash::{BEGUN_WEIGHT, STARTED_WEIGHT},
     evidence::Suspicion,
     registry::MAX_HOLDS,
 };
-use crate::ids::PromptPartId;
+
 use std::{
     cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
-/// Weight of the evidence at which a part is quarantined: four crashes in a row of targets that had
-/// begun to answer a request with the part, and no answer in between.
+/// Weight of the evidence at which a feature is quarantined: four crashes in a row of targets that
+/// had begun to answer a request with the feature, and no answer in between.
 const CONVICTION_WEIGHT: u32 = 4 * BEGUN_WEIGHT;
 
 /// The same if one of the crashes came after the first event: six such crashes in a row.
 const STARTED_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
 
 /// Weight of the evidence from which a request that lost its target is not sent to another one: two
-/// crashes of targets that had begun to answer a request with the part.
+/// crashes of targets that had begun to answer a request with the feature.
 const SUSPICION_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
 
-/// Time without any answer to a request with a part from which the part can be suspected. A part
-/// that many sound requests share is answered all the time, also while targets crash.
+/// Time without any answer to a request with a feature from which the feature can be suspected. A
+/// feature that many sound requests share is answered all the time, also while targets crash.
 const MIN_SILENCE: Duration = Duration::from_secs(2);
 
 /// Time after the latest crash during which the evidence is reviewed, longer than `MIN_SILENCE`.
 const REVIEW_TIME: Duration = Duration::from_secs(3);
 
-/// Number of answers to requests without a part that must have come since its first crash. If
-/// nothing is answered at all, the targets have another problem than that part.
+/// Number of answers to requests without a feature that must have come since its first crash. If
+/// nothing is answered at all, the targets have another problem than that feature.
 pub(super) const MIN_OTHER_ANSWERS: usize = 2;
 
-/// Share of all crashes since the first one that a part must be suspected of, unless it has crashed
-/// twice as many targets as otherwise needed. When many targets crash for another reason, some parts
-/// are in several of the crashes by chance.
+/// Share of all crashes since the first one that a feature must be suspected of, unless it has
+/// crashed twice as many targets as otherwise needed. When many targets crash for another reason,
+/// some features are in several of the crashes by chance.
 const MIN_CRASH_SHARE: f64 = 0.3;
 
 impl Quarantine {
-    /// Returns whether a part of `parts` has crashed so many targets in a row that a request which
-    /// lost its target should not be sent to another one.
-    pub fn is_suspected(&self, parts: &PartSet, now: Instant) -> bool {
-        if !parts.iter().any(|part| self.evidence.is_suspect(*part)) {
+    /// Returns whether a feature of `features` has crashed so many targets in a row that a request
+    /// which lost its target should not be sent to another one.
+    pub fn is_suspected(&self, features: &FeatureSet, now: Instant) -> bool {
+        if !features.iter().any(|feature| self.evidence.is_suspect(*feature)) {
             return false;
         }
         let suspicions = self.suspicions(now);
-        let weights = parts.iter().filter_map(|part| suspicions.get(part)).map(|it| it.weight);
+        let weights =
+            features.iter().filter_map(|feature| suspicions.get(feature)).map(|it| it.weight);
         weights.max().unwrap_or(0) >= SUSPICION_WEIGHT
     }
 
-    /// Returns the strongest evidence against a part, as a number of crashes of targets that had
+    /// Returns the strongest evidence against a feature, as a number of crashes of targets that had
     /// begun to answer.
     pub fn strongest_suspicion(&self, now: Instant) -> f64 {
         let weights = self.suspicions(now).into_values().map(|suspicion| suspicion.weight);
         f64::from(weights.max().unwrap_or(0)) / f64::from(BEGUN_WEIGHT)
     }
 
-    /// Looks at the evidence again, as some of it counts only after some time, and returns the parts
-    /// that are quarantined because of it.
+    /// Looks at the evidence again, as some of it counts only after some time, and returns the
+    /// features that are quarantined because of it.
     pub fn review(&mut self, now: Instant) -> Vec<Detection> {
         let latest = self.evidence.latest();
         match latest.is_some_and(|at| now.saturating_duration_since(at) < REVIEW_TIME) {
@@ -69,8 +70,8 @@
         }
     }
 
-    /// Quarantines the parts against which there is enough evidence, the most suspected first: the
-    /// crashes that they explain no longer count for others.
+    /// Quarantines the features against which there is enough evidence, the most suspected first:
+    /// the crashes that they explain no longer count for others.
     pub(super) fn detect(&mut self, now: Instant) -> Vec<Detection> {
         let mut detections = Vec::new();
         // The bound guards against holds that displace each other.
@@ -81,20 +82,20 @@
         detections
     }
 
-    /// Returns the most suspected parts if there is enough evidence against them and they are not
-    /// quarantined yet: several if they were in the same requests each time, so that the evidence
-    /// does not say which of them crashes targets.
-    fn strongest_suspects(&self, now: Instant) -> Option<PartSet> {
-        // Of equally suspected parts, one that sound requests share was answered last.
-        let mut groups: BTreeMap<_, PartSet> = BTreeMap::new();
-        for (part, suspicion) in self.suspicions(now) {
+    /// Returns the most suspected features if there is enough evidence against them and they are
+    /// not quarantined yet: several if they were in the same requests each time, so that the
+    /// evidence does not say which of them crashes targets.
+    fn strongest_suspects(&self, now: Instant) -> Option<FeatureSet> {
+        // Of equally suspected features, one that sound requests share was answered last.
+        let mut groups: BTreeMap<_, FeatureSet> = BTreeMap::new();
+        for (feature, suspicion) in self.suspicions(now) {
             if self.is_proved(&suspicion) {
                 let rank = (
                     suspicion.weight,
-                    Reverse(self.log(AnswerStage::Sustained).last(part)),
+                    Reverse(self.log(AnswerStage::Sustained).last(feature)),
                     suspicion.crashes,
                 );
-                groups.entry(rank).or_default().insert(part);
+                groups.entry(rank).or_default().insert(feature);
             }
         }
         groups.into_values().rev().find(|set| !self.is_covered(set))
@@ -109,21 +110,21 @@
             && self.has_other_answers(first_at)
     }
 
-    /// Returns whether all requests with the parts of `set` are held or on trial.
-    fn is_covered(&self, set: &PartSet) -> bool {
+    /// Returns whether all requests with the features of `set` are held or on trial.
+    fn is_covered(&self, set: &FeatureSet) -> bool {
         self.holds().any(|held| held.is_subset(set))
     }
 
-    /// Returns the suspicions of parts that were not answered for some time.
-    fn suspicions(&self, now: Instant) -> BTreeMap<PromptPartId, Suspicion> {
-        let holds: Vec<&PartSet> = self.holds().collect();
-        let is_silent = |part, stage| {
-            let last = self.log(stage).last(part);
+    /// Returns the suspicions of features that were not answered for some time.
+    fn suspicions(&self, now: Instant) -> BTreeMap<Feature, Suspicion> {
+        let holds: Vec<&FeatureSet> = self.holds().collect();
+        let is_silent = |feature, stage| {
+            let last = self.log(stage).last(feature);
             last.is_none_or(|at| now.saturating_duration_since(at) >= MIN_SILENCE)
         };
-        let begins_none = |part| is_silent(part, AnswerStage::FirstEvent);
+        let begins_none = |feature| is_silent(feature, AnswerStage::FirstEvent);
         let mut suspicions = self.evidence.suspicions(&holds, begins_none, now);
-        suspicions.retain(|part, _| is_silent(*part, AnswerStage::Sustained));
+        suspicions.retain(|feature, _| is_silent(*feature, AnswerStage::Sustained));
         suspicions
     }
 
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -1,10 +1,10 @@
 //! Crashes of targets, and the requests that were lost in them.
 
 use super::{
-    AnswerStage, PartSet, Version,
+    AnswerStage, Feature, FeatureSet, Version,
     crash::{BEGUN_WEIGHT, Crash, CrashId, STARTED_WEIGHT},
 };
-use crate::ids::{PromptPartId, TargetId};
+use crate::ids::TargetId;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -16,15 +16,15 @@
 /// Maximum number of remembered crashes; the oldest are forgotten first.
 const MAX_CRASHES: usize = 128;
 
-/// Maximum number of parts of all remembered crashes together, eight crashes of the most parts that
-/// one request can have; the oldest crashes are forgotten first.
+/// Maximum number of features of all remembered crashes together, eight crashes of the most
+/// features that one request can have; the oldest crashes are forgotten first.
 const MAX_SUSPECTS: usize = 32_768;
 
 /// Minimum time between two crashes for both to count. Targets that crash together have a common
-/// cause, such as a power failure, of which many requests with a common part are victims.
+/// cause, such as a power failure, of which many requests with a common feature are victims.
 const MIN_SPACING: Duration = Duration::from_millis(50);
 
-/// Evidence that a part crashes targets.
+/// Evidence that a feature crashes targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Suspicion {
     /// Sum of the weights of the crashes that count.
@@ -34,7 +34,7 @@
     /// Time of the first crash.
     pub(super) first_at: Instant,
     last_counted: Instant,
-    /// Positions, in the order of time, of the crashes that the part is suspected of.
+    /// Positions, in the order of time, of the crashes that the feature is suspected of.
     pub(super) crashes: Vec<usize>,
 }
 
@@ -58,8 +58,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
     crashes: BTreeMap<CrashId, Crash>,
-    /// Number of crashes that each part is a suspect of.
-    counts: BTreeMap<PromptPartId, usize>,
+    /// Number of crashes that each feature is a suspect of.
+    counts: BTreeMap<Feature, usize>,
 }
 
 impl Evidence {
@@ -71,12 +71,12 @@
         let (merged, changed) = match known {
             None => (crash, true),
             Some(mut known) => {
-                self.count_parts(&known, false);
+                self.count_features(&known, false);
                 let changed = known.merge(crash);
                 (known, changed)
             }
         };
-        self.count_parts(&merged, true);
+        self.count_features(&merged, true);
         self.crashes.insert(id, merged);
         self.evict();
         changed
@@ -95,56 +95,57 @@
         self.crashes.iter().filter(move |(_, crash)| crash.version > version)
     }
 
-    /// Returns whether `part` is a suspect of any crash.
-    pub(super) fn is_suspect(&self, part: PromptPartId) -> bool {
-        self.counts.contains_key(&part)
+    /// Returns whether `feature` is a suspect of any crash.
+    pub(super) fn is_suspect(&self, feature: Feature) -> bool {
+        self.counts.contains_key(&feature)
     }
 
-    /// Removes `part` from the suspects of the crashes until `at`, when an answer to a request with it
-    /// had reached `stage`. Returns whether it was one.
-    pub(super) fn clear(&mut self, part: PromptPartId, stage: AnswerStage, at: Instant) -> bool {
-        let Some(count) = self.counts.get_mut(&part) else { return false };
+    /// Removes `feature` from the suspects of the crashes until `at`, when an answer to a request
+    /// with it had reached `stage`. Returns whether it was one.
+    pub(super) fn clear(&mut self, feature: Feature, stage: AnswerStage, at: Instant) -> bool {
+        let Some(count) = self.counts.get_mut(&feature) else { return false };
         let mut cleared = false;
         for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
-            if crash.clear(part, stage) {
+            if crash.clear(feature, stage) {
                 cleared = true;
-                *count -= usize::from(!crash.contains(part));
+                *count -= usize::from(!crash.contains(feature));
             }
         }
         if *count == 0 {
-            self.counts.remove(&part);
+            self.counts.remove(&feature);
         }
         cleared
     }
 
-    /// Returns the suspicion of each part that is a suspect of several crashes.
+    /// Returns the suspicion of each feature that is a suspect of several crashes.
     ///
-    /// A crash does not count for a part if one of `holds` without that part explains it.
-    /// `is_silent` says whether no answer to a request with a part has begun for some time.
+    /// A crash does not count for a feature if one of `holds` without that feature explains it.
+    /// `is_silent` says whether no answer to a request with a feature has begun for some time.
     pub(super) fn suspicions(
         &self,
-        holds: &[&PartSet],
-        is_silent: impl Fn(PromptPartId) -> bool,
+        holds: &[&FeatureSet],
+        is_silent: impl Fn(Feature) -> bool,
         now: Instant,
-    ) -> BTreeMap<PromptPartId, Suspicion> {
-        let mut suspicions: BTreeMap<PromptPartId, Suspicion> = BTreeMap::new();
-        // Most parts of long prompts are in one crash only.
-        let repeated = self.counts.iter().filter(|(_, count)| **count > 1).map(|(part, _)| *part);
-        let repeated: PartSet = repeated.collect();
+    ) -> BTreeMap<Feature, Suspicion> {
+        let mut suspicions: BTreeMap<Feature, Suspicion> = BTreeMap::new();
+        // Most features of long prompts are in one crash only.
+        let repeated =
+            self.counts.iter().filter(|(_, count)| **count > 1).map(|(feature, _)| *feature);
+        let repeated: FeatureSet = repeated.collect();
         if repeated.is_empty() {
             return suspicions;
         }
         let mut crashes: Vec<&Crash> = self.crashes.values().collect();
         crashes.sort_by_key(|crash| crash.at);
         for (position, crash) in crashes.into_iter().enumerate() {
-            let explaining: Vec<&&PartSet> =
+            let explaining: Vec<&&FeatureSet> =
                 holds.iter().filter(|held| crash.is_explained_by(held, now)).collect();
-            for (part, weight) in crash.suspects(&repeated, &is_silent, now) {
-                if explaining.iter().any(|held| !held.contains(&part)) {
+            for (feature, weight) in crash.suspects(&repeated, &is_silent, now) {
+                if explaining.iter().any(|held| !held.contains(&feature)) {
                     continue;
                 }
                 suspicions
-                    .entry(part)
+                    .entry(feature)
                     .and_modify(|suspicion| suspicion.add(crash.at, weight, position))
                     .or_insert_with(|| Suspicion::new(crash.at, weight, position));
             }
@@ -152,7 +153,8 @@
         suspicions
     }
 
-    /// Returns the weight of the crashes since `since` for a part that is suspected of all of them.
+    /// Returns the weight of the crashes since `since` for a feature that is suspected of all of
+    /// them.
     pub(super) fn weight_since(&self, since: Instant) -> u32 {
         let recent = self.crashes.values().map(|crash| crash.at).filter(|at| *at >= since);
         let times: BTreeSet<Instant> = recent.collect();
@@ -166,15 +168,15 @@
         count * BEGUN_WEIGHT
     }
 
-    /// Returns whether all of `parts` were in requests that the target was answering when it
+    /// Returns whether all of `features` were in requests that the target was answering when it
     /// crashed as `id`.
-    pub(super) fn crashed_while_answering(&self, id: &CrashId, parts: &PartSet) -> bool {
-        self.crashes.get(id).is_some_and(|crash| crash.was_answering_all(parts))
+    pub(super) fn crashed_while_answering(&self, id: &CrashId, features: &FeatureSet) -> bool {
+        self.crashes.get(id).is_some_and(|crash| crash.was_answering_all(features))
     }
 
-    /// Returns the targets whose crashes `parts` are suspected of, for the log.
-    pub(super) fn targets_lost_with(&self, parts: &PartSet) -> Vec<TargetId> {
-        let involved = self.crashes.iter().filter(|(_, crash)| crash.involves_all(parts));
+    /// Returns the targets whose crashes `features` are suspected of, for the log.
+    pub(super) fn targets_lost_with(&self, features: &FeatureSet) -> Vec<TargetId> {
+        let involved = self.crashes.iter().filter(|(_, crash)| crash.involves_all(features));
         involved.map(|(id, _)| id.target.clone()).collect()
     }
 
@@ -195,7 +197,7 @@
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
             if let Some(crash) = self.crashes.remove(&id) {
-                self.count_parts(&crash, false);
+                self.count_features(&crash, false);
             }
         }
     }
@@ -209,17 +211,17 @@
         let old: Vec<(CrashId, Crash)> =
             self.crashes.extract_if(.., |_, crash| is_old(crash)).collect();
         for (_, crash) in old {
-            self.count_parts(&crash, false);
+            self.count_features(&crash, false);
         }
     }
 
     /// Adds the suspects of `crash` to the counts, or subtracts them.
-    fn count_parts(&mut self, crash: &Crash, added: bool) {
-        for part in crash.parts() {
-            let count = self.counts.entry(part).or_default();
+    fn count_features(&mut self, crash: &Crash, added: bool) {
+        for feature in crash.features() {
+            let count = self.counts.entry(feature).or_default();
             *count = if added { *count + 1 } else { *count - 1 };
             if *count == 0 {
-                self.counts.remove(&part);
+                self.counts.remove(&feature);
             }
         }
     }
--- a/lib/src/quarantine/hold.rs
+++ b/lib/src/quarantine/hold.rs
@@ -3,11 +3,11 @@
 //! A hold is closed, then on trial, and closed again for longer if a trial request crashes its
 //! target. An answer to a trial request ends the hold.
 
-use super::{PartSet, Version};
+use super::{FeatureSet, Version};
 use std::time::{Duration, Instant};
 
-/// Duration of the first hold. Parts that were held wrongly are out of use for this time, and parts
-/// that crash targets cost one more of them after it.
+/// Duration of the first hold. Parts that were held wrongly are out of use for this time, and
+/// features that crash targets cost one more of them after it.
 const FIRST_DURATION: Duration = Duration::from_secs(600);
 
 /// Number of times by which the duration doubles at most.
@@ -20,17 +20,17 @@
 /// Time after which a trial request without any outcome is followed by another.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reason why a request must not be sent: parts of its prompt are quarantined.
+/// Reason why a request must not be sent: it has features that are quarantined.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("parts {parts:x?} of the prompt crash targets; they are quarantined for {remaining:?}")]
+#[error("requests with {features:x?} crash targets; they are quarantined for {remaining:?}")]
 pub struct Refusal {
-    /// Quarantined parts.
-    pub parts: PartSet,
-    /// Time after which a request with these parts may be sent again.
+    /// Quarantined features.
+    pub features: FeatureSet,
+    /// Time after which a request with these features may be sent again.
     pub remaining: Duration,
 }
 
-/// State of a hold in which no request with the parts is sent.
+/// State of a hold in which no request with the features is sent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Closed {
     /// Time at which this entry begins trials.
@@ -44,11 +44,11 @@
     pending_until: Option<Instant>,
 }
 
-/// Quarantine of the requests that have certain parts.
+/// Quarantine of the requests that have certain features.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Hold<S> {
     pub(super) since: Instant,
-    /// How often the parts have been held, this time included.
+    /// How often the features have been held, this time included.
     pub(super) spell: u32,
     pub(super) version: Version,
     state: S,
@@ -68,7 +68,7 @@
         self.state.ends_at.saturating_duration_since(now)
     }
 
-    /// Begins the trials of the parts.
+    /// Begins the trials of the features.
     pub(super) fn begin_trials(self) -> Hold<OnTrial> {
         let Self { since, spell, version, state: _ } = self;
         Hold { since, spell, version, state: OnTrial { pending_until: None } }
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -1,17 +1,18 @@
-//! Quarantine of prompt parts that crash targets.
+//! Quarantine of requests that crash targets.
 //!
 //! A request can bring down the target that answers it, and retries then carry it to the next one.
-//! Requests are rarely alike, but those that crash targets for the same reason share a part of
-//! their prompts. This module finds that part from the requests that were lost in the crashes, and
-//! says which requests must not be sent. If several parts were in the same requests each time, the
-//! requests with all of them are held. Entries exchange what they know, so that all of them
-//! refuse the part soon after a few crashes, whichever of them saw those.
+//! Either one request does so, which its caller repeats, or requests that are not alike but share a
+//! part of their prompts. This module finds that feature from the requests that were lost in the
+//! crashes, and says which requests must not be sent. If several features were in the same requests
+//! each time, the requests with all of them are held. Entries exchange what they know, so that all
+//! of them refuse the feature soon after a few crashes, whichever of them saw those.
 
 mod answers;
 mod content;
 mod crash;
 mod detection;
 mod evidence;
+mod feature;
 mod hold;
 mod news;
 mod registry;
@@ -24,6 +25,7 @@
 pub use self::{
     content::Content,
     crash::{CrashId, RequestLoss},
+    feature::{Feature, FeatureSet},
     hold::Refusal,
     news::{AnswerNews, CrashNews, HoldNews, News, Version},
     registry::{Detection, Quarantine, QuarantineSummary},
@@ -32,8 +34,8 @@
 /// Parts of prompts.
 pub type PartSet = BTreeSet<PromptPartId>;
 
-/// Stage of an answer that shows that its request has not crashed the target so far, which clears the
-/// parts of the prompt.
+/// Stage of an answer that shows that its request has not crashed the target so far, which clears
+/// the features of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, EnumIter, Serialize, Deserialize)]
 pub enum AnswerStage {
     /// The first event of the answer. The target may still crash because of the request, but not
@@ -43,6 +45,6 @@
     Sustained,
 }
 
-/// Time from the first event of an answer until it shows that the request does not crash its target.
-/// A target may end soon after it has begun to write.
+/// Time from the first event of an answer until it shows that the request does not crash its
+/// target. A target may end soon after it has begun to write.
 pub const SUSTAINED_TIME: Duration = Duration::from_millis(300);
--- a/lib/src/quarantine/news.rs
+++ b/lib/src/quarantine/news.rs
@@ -1,9 +1,9 @@
-//! What entries tell each other about crashes and quarantined parts.
+//! What entries tell each other about crashes and quarantined features.
 //!
 //! Times are sent as ages, since the clocks of entries differ.
 
-use super::{AnswerStage, CrashId, PartSet};
-use crate::ids::PromptPartId;
+use super::{AnswerStage, CrashId, Feature, FeatureSet};
+
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -15,9 +15,9 @@
 pub struct News {
     /// Crashes of targets.
     pub crashes: Vec<CrashNews>,
-    /// Answers that show that a suspected part is harmless.
+    /// Answers that show that a suspected feature is harmless.
     pub answers: Vec<AnswerNews>,
-    /// Sets of parts that are quarantined.
+    /// Sets of features that are quarantined.
     pub holds: Vec<HoldNews>,
 }
 
@@ -29,20 +29,20 @@
     /// Time since the crash.
     pub age: Duration,
     /// Parts of requests whose answers had begun without any event.
-    pub begun: PartSet,
+    pub begun: FeatureSet,
     /// Parts of requests whose first event had just arrived.
-    pub started: PartSet,
+    pub started: FeatureSet,
     /// Parts of requests of which no answer had begun.
-    pub waiting: PartSet,
+    pub waiting: FeatureSet,
     /// Whether the answer to any request had begun without any event.
     pub had_begun: bool,
 }
 
-/// The last answer to a request with a certain part that has reached `stage`.
+/// The last answer to a request with a certain feature that has reached `stage`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerNews {
-    /// Part of the prompt.
-    pub part: PromptPartId,
+    /// Feature of the request.
+    pub feature: Feature,
     /// Stage that the answer has reached.
     pub stage: AnswerStage,
     /// Time since then.
@@ -52,11 +52,11 @@
 /// Parts that are quarantined.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldNews {
-    /// Quarantined parts.
-    pub parts: PartSet,
+    /// Quarantined features.
+    pub features: FeatureSet,
     /// Time since the quarantine began.
     pub age: Duration,
-    /// How often the parts have been quarantined, this time included.
+    /// How often the features have been quarantined, this time included.
     pub spell: u32,
 }
 
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -1,15 +1,15 @@
 //! Quarantine of an entry: what it knows, what it refuses and what it tells its peers.
 
 use super::{
-    AnswerNews, AnswerStage, CrashId, CrashNews, HoldNews, News, PartSet, Refusal, RequestLoss,
-    Version,
+    AnswerNews, AnswerStage, CrashId, CrashNews, Feature, FeatureSet, HoldNews, News, Refusal,
+    RequestLoss, Version,
     answers::AnswerLog,
     crash::Crash,
     detection::MIN_OTHER_ANSWERS,
     evidence::Evidence,
     hold::{Closed, Hold, OnTrial},
 };
-use crate::ids::{PromptPartId, TargetId};
+use crate::ids::TargetId;
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Instant,
@@ -23,26 +23,27 @@
 /// Parts that were quarantined, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Detection {
-    /// Quarantined parts.
-    pub parts: PartSet,
-    /// Targets that crashed with requests that had these parts.
+    /// Quarantined features.
+    pub features: FeatureSet,
+    /// Targets that crashed with requests that had these features.
     pub targets: Vec<TargetId>,
-    /// How often the parts have been quarantined, this time included.
+    /// How often the features have been quarantined, this time included.
     pub spell: u32,
 }
 
 /// Summary for state dumps.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QuarantineSummary {
-    /// Sets of parts with which no request is sent.
-    pub held: BTreeSet<PartSet>,
-    /// Sets of parts with which single requests are sent, to see whether they still crash targets.
-    pub on_trial: BTreeSet<PartSet>,
+    /// Sets of features with which no request is sent.
+    pub held: BTreeSet<FeatureSet>,
+    /// Sets of features with which single requests are sent, to see whether they still crash
+    /// targets.
+    pub on_trial: BTreeSet<FeatureSet>,
     /// Number of crashes that are remembered.
     pub crashes: usize,
 }
 
-/// What one entry knows of the parts that crash targets.
+/// What one entry knows of the features that crash targets.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     /// Position of this entry in the order of trials, from 0 to 1, so that the entries do not try
@@ -54,8 +55,8 @@
     /// Times of the last `MIN_OTHER_ANSWERS` answers that this entry has seen.
     pub(super) recent_answers: VecDeque<Instant>,
     pub(super) evidence: Evidence,
-    held: BTreeMap<PartSet, Hold<Closed>>,
-    on_trial: BTreeMap<PartSet, Hold<OnTrial>>,
+    held: BTreeMap<FeatureSet, Hold<Closed>>,
+    on_trial: BTreeMap<FeatureSet, Hold<OnTrial>>,
 }
 
 impl Quarantine {
@@ -73,40 +74,40 @@
         }
     }
 
-    /// Returns why a request with `parts` must not be sent at `now`, if that is so.
-    pub fn refusal(&self, parts: &PartSet, now: Instant) -> Option<Refusal> {
+    /// Returns why a request with `features` must not be sent at `now`, if that is so.
+    pub fn refusal(&self, features: &FeatureSet, now: Instant) -> Option<Refusal> {
         let held = self.held.iter().map(|(set, hold)| (set, hold.remaining(now)));
         let on_trial = self.on_trial.iter().map(|(set, hold)| (set, hold.remaining(now)));
-        let mut matching = held.chain(on_trial).filter(|(set, _)| set.is_subset(parts));
+        let mut matching = held.chain(on_trial).filter(|(set, _)| set.is_subset(features));
         let (set, remaining) = matching.find(|(_, remaining)| !remaining.is_zero())?;
-        Some(Refusal { parts: set.clone(), remaining })
+        Some(Refusal { features: set.clone(), remaining })
     }
 
-    /// Records that a request with `parts` is sent at `now`, as a trial of the parts whose hold is
-    /// over.
+    /// Records that a request with `features` is sent at `now`, as a trial of the features whose
+    /// hold is over.
     ///
     /// # Errors
     ///
-    /// Returns the parts with which no request may be sent if there are any.
-    pub fn begin_send(&mut self, parts: &PartSet, now: Instant) -> Result<(), Refusal> {
-        self.refusal(parts, now).map_or(Ok(()), Err)?;
-        let ended = self.held.extract_if(.., |set, _| set.is_subset(parts));
+    /// Returns the features with which no request may be sent if there are any.
+    pub fn begin_send(&mut self, features: &FeatureSet, now: Instant) -> Result<(), Refusal> {
+        self.refusal(features, now).map_or(Ok(()), Err)?;
+        let ended = self.held.extract_if(.., |set, _| set.is_subset(features));
         self.on_trial.extend(ended.map(|(set, hold)| (set, hold.begin_trials())));
-        for (_, hold) in self.on_trial.iter_mut().filter(|(set, _)| set.is_subset(parts)) {
+        for (_, hold) in self.on_trial.iter_mut().filter(|(set, _)| set.is_subset(features)) {
             hold.begin_trial(now);
         }
         Ok(())
     }
 
-    /// Returns whether a request with `parts` must not stay at its target.
-    pub fn is_held(&self, parts: &PartSet) -> bool {
-        self.held.keys().any(|set| set.is_subset(parts))
+    /// Returns whether a request with `features` must not stay at its target.
+    pub fn is_held(&self, features: &FeatureSet) -> bool {
+        self.held.keys().any(|set| set.is_subset(features))
     }
 
-    /// Records that the answer to a request with `parts` has reached `stage`, which shows that these
-    /// do not crash its target.
-    pub fn record_stage(&mut self, stage: AnswerStage, parts: &PartSet, now: Instant) {
-        if parts.is_empty() {
+    /// Records that the answer to a request with `features` has reached `stage`, which shows that
+    /// these do not crash its target.
+    pub fn record_stage(&mut self, stage: AnswerStage, features: &FeatureSet, now: Instant) {
+        if features.is_empty() {
             return;
         }
         if stage == AnswerStage::Sustained {
@@ -115,22 +116,22 @@
                 self.recent_answers.pop_front();
             }
         }
-        for &part in parts {
-            self.apply_stage(part, stage, now);
+        for &feature in features {
+            self.apply_stage(feature, stage, now);
         }
     }
 
     /// Records requests that were lost in crashes of their targets, each with the time of its loss,
-    /// and returns the parts that are quarantined because of them.
+    /// and returns the features that are quarantined because of them.
     pub fn record_losses(
         &mut self,
         losses: Vec<(RequestLoss, Instant)>,
         now: Instant,
     ) -> Vec<Detection> {
         let mut renewed = Vec::new();
-        for (RequestLoss { crash: id, progress, parts }, at) in losses {
+        for (RequestLoss { crash: id, progress, features }, at) in losses {
             let mut crash = Crash::new(at, self.version + 1);
-            crash.add_loss(progress, parts);
+            crash.add_loss(progress, features);
             self.add_crash(id.clone(), crash, now);
             renewed.extend(self.renew_holds(&id, now));
         }
@@ -152,14 +153,14 @@
         });
         let answers = AnswerStage::iter().flat_map(|stage| {
             let changed = self.log(stage).changed_since(version);
-            changed.map(move |(part, at)| AnswerNews { part, stage, age: age(at) })
+            changed.map(move |(feature, at)| AnswerNews { feature, stage, age: age(at) })
         });
         let held = self.held.iter().map(|(set, hold)| (set, hold.since, hold.spell, hold.version));
         let on_trial =
             self.on_trial.iter().map(|(set, hold)| (set, hold.since, hold.spell, hold.version));
         let holds = held.chain(on_trial).filter(|(.., changed)| *changed > version);
         let holds = holds.map(|(set, since, spell, _)| HoldNews {
-            parts: set.clone(),
+            features: set.clone(),
             age: age(since),
             spell,
         });
@@ -168,11 +169,11 @@
         (news, self.version)
     }
 
-    /// Applies what a peer knows, and returns the parts that are quarantined because of it.
+    /// Applies what a peer knows, and returns the features that are quarantined because of it.
     pub fn merge(&mut self, news: News, now: Instant) -> Vec<Detection> {
-        for AnswerNews { part, stage, age } in news.answers {
+        for AnswerNews { feature, stage, age } in news.answers {
             if let Some(at) = now.checked_sub(age) {
-                self.apply_stage(part, stage, at);
+                self.apply_stage(feature, stage, at);
             }
         }
         for CrashNews { id, age, begun, started, waiting, had_begun } in news.crashes {
@@ -181,11 +182,11 @@
             self.add_crash(id, Crash { at, begun, started, waiting, had_begun, version }, now);
         }
         let mut detections = Vec::new();
-        for HoldNews { mut parts, age, spell } in news.holds {
+        for HoldNews { mut features, age, spell } in news.holds {
             let Some(since) = now.checked_sub(age) else { continue };
-            parts.retain(|part| self.sustained.last(*part).is_none_or(|at| at < since));
-            if !parts.is_empty() && spell > self.spell(&parts) {
-                detections.push(self.hold(parts, since, spell));
+            features.retain(|feature| self.sustained.last(*feature).is_none_or(|at| at < since));
+            if !features.is_empty() && spell > self.spell(&features) {
+                detections.push(self.hold(features, since, spell));
             }
         }
         detections.extend(self.detect(now));
@@ -201,7 +202,7 @@
         }
     }
 
-    /// Returns the number of sets of parts with which no request is sent.
+    /// Returns the number of sets of features with which no request is sent.
     pub fn held_count(&self) -> usize {
         self.held.len()
     }
@@ -221,36 +222,36 @@
         }
     }
 
-    /// Records that an answer reached `stage` at `at`. Peers learn of it only if it clears the part
-    /// of a crash or a hold.
-    fn apply_stage(&mut self, part: PromptPartId, stage: AnswerStage, at: Instant) {
-        if self.log(stage).last(part).is_some_and(|known| known >= at) {
+    /// Records that an answer reached `stage` at `at`. Peers learn of it only if it clears the
+    /// feature of a crash or a hold.
+    fn apply_stage(&mut self, feature: Feature, stage: AnswerStage, at: Instant) {
+        if self.log(stage).last(feature).is_some_and(|known| known >= at) {
             return;
         }
-        self.log_mut(stage).insert(part, at);
-        let released = stage == AnswerStage::Sustained && self.release(part, at);
-        let cleared = self.evidence.clear(part, stage, at);
+        self.log_mut(stage).insert(feature, at);
+        let released = stage == AnswerStage::Sustained && self.release(feature, at);
+        let cleared = self.evidence.clear(feature, stage, at);
         if released || cleared {
-            self.publish_stage(part, stage);
+            self.publish_stage(feature, stage);
         }
     }
 
-    fn publish_stage(&mut self, part: PromptPartId, stage: AnswerStage) {
+    fn publish_stage(&mut self, feature: Feature, stage: AnswerStage) {
         self.version += 1;
         let version = self.version;
-        self.log_mut(stage).publish(part, version);
+        self.log_mut(stage).publish(feature, version);
     }
 
-    /// Adds what is known of a crash, without the parts that were answered after it. Those who
+    /// Adds what is known of a crash, without the features that were answered after it. Those who
     /// reported the crash may not know of these answers.
     fn add_crash(&mut self, id: CrashId, mut crash: Crash, now: Instant) {
         let at = self.evidence.crash_time(&id, crash.at);
         for stage in AnswerStage::iter() {
             let is_alive =
-                |part: &PromptPartId| self.log(stage).last(*part).is_some_and(|it| it >= at);
-            let alive: Vec<PromptPartId> = crash.parts().filter(is_alive).collect();
-            for part in alive.into_iter().filter(|part| crash.clear(*part, stage)) {
-                self.publish_stage(part, stage);
+                |feature: &Feature| self.log(stage).last(*feature).is_some_and(|it| it >= at);
+            let alive: Vec<Feature> = crash.features().filter(is_alive).collect();
+            for feature in alive.into_iter().filter(|feature| crash.clear(*feature, stage)) {
+                self.publish_stage(feature, stage);
             }
         }
         let version = self.version + 1;
@@ -259,17 +260,17 @@
         }
     }
 
-    /// Removes `part`, which was answered at `at`, from the holds that began before, and returns
+    /// Removes `feature`, which was answered at `at`, from the holds that began before, and returns
     /// whether there were any.
-    fn release(&mut self, part: PromptPartId, at: Instant) -> bool {
-        let held = self.held.extract_if(.., |set, hold| set.contains(&part) && hold.since < at);
+    fn release(&mut self, feature: Feature, at: Instant) -> bool {
+        let held = self.held.extract_if(.., |set, hold| set.contains(&feature) && hold.since < at);
         let mut held: Vec<_> = held.collect();
         let on_trial =
-            self.on_trial.extract_if(.., |set, hold| set.contains(&part) && hold.since < at);
+            self.on_trial.extract_if(.., |set, hold| set.contains(&feature) && hold.since < at);
         let mut on_trial: Vec<_> = on_trial.collect();
         let sets = held.iter_mut().map(|(set, _)| set);
         for set in sets.chain(on_trial.iter_mut().map(|(set, _)| set)) {
-            set.remove(&part);
+            set.remove(&feature);
         }
         let changed = !held.is_empty() || !on_trial.is_empty();
         self.held.extend(held.into_iter().filter(|(set, _)| !set.is_empty()));
@@ -277,19 +278,19 @@
         changed
     }
 
-    /// Holds again the parts on trial that were lost in the crash `id`.
+    /// Holds again the features on trial that were lost in the crash `id`.
     fn renew_holds(&mut self, id: &CrashId, now: Instant) -> Vec<Detection> {
-        let is_involved = |set: &&PartSet| self.evidence.crashed_while_answering(id, set);
+        let is_involved = |set: &&FeatureSet| self.evidence.crashed_while_answering(id, set);
         let involved = self.on_trial.keys().filter(is_involved);
-        let involved: Vec<PartSet> = involved.cloned().collect();
-        let renew = |set: PartSet| {
+        let involved: Vec<FeatureSet> = involved.cloned().collect();
+        let renew = |set: FeatureSet| {
             let spell = self.spell(&set) + 1;
             self.hold(set, now, spell)
         };
         involved.into_iter().map(renew).collect()
     }
 
-    pub(super) fn hold(&mut self, set: PartSet, since: Instant, spell: u32) -> Detection {
+    pub(super) fn hold(&mut self, set: FeatureSet, since: Instant, spell: u32) -> Detection {
         self.version += 1;
         self.on_trial.remove(&set);
         let targets = self.evidence.targets_lost_with(&set);
@@ -300,15 +301,15 @@
                 self.held.remove(&oldest);
             }
         }
-        Detection { parts: set, targets, spell }
+        Detection { features: set, targets, spell }
     }
 
-    pub(super) fn holds(&self) -> impl Iterator<Item = &PartSet> {
+    pub(super) fn holds(&self) -> impl Iterator<Item = &FeatureSet> {
         self.held.keys().chain(self.on_trial.keys())
     }
 
-    /// Returns how often the parts of `set` have been held since they were last answered.
-    fn spell(&self, set: &PartSet) -> u32 {
+    /// Returns how often the features of `set` have been held since they were last answered.
+    fn spell(&self, set: &FeatureSet) -> u32 {
         let held = self.held.get(set).map(|hold| hold.spell);
         held.or_else(|| self.on_trial.get(set).map(|hold| hold.spell)).unwrap_or(0)
     }
--- a/lib/tests/quarantine/fixture.rs
+++ b/lib/tests/quarantine/fixture.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     forward::Progress,
     ids::PromptPartId,
-    quarantine::{AnswerStage, CrashId, PartSet, Quarantine, RequestLoss, Version},
+    quarantine::{AnswerStage, CrashId, Feature, FeatureSet, Quarantine, RequestLoss, Version},
 };
 use std::time::Duration;
 use testutils::ManualClock;
@@ -36,8 +36,8 @@
     crashes: usize,
 }
 
-pub(crate) fn part_set(parts: &[PromptPartId]) -> PartSet {
-    parts.iter().copied().collect()
+pub(crate) fn part_set(parts: &[PromptPartId]) -> FeatureSet {
+    parts.iter().copied().map(Feature::Part).collect()
 }
 
 impl Fixture {
@@ -67,8 +67,8 @@
         parts: &[PromptPartId],
     ) {
         let crash = CrashId { target: format!("t{number}"), started_at: None };
-        let (now, parts) = (self.clock.now(), part_set(parts));
-        let loss = RequestLoss { crash, progress, parts };
+        let (now, features) = (self.clock.now(), part_set(parts));
+        let loss = RequestLoss { crash, progress, features };
         self.entries[entry].record_losses(vec![(loss, now)], now);
     }
 
--- a/lib/tests/quarantine/ordinary.rs
+++ b/lib/tests/quarantine/ordinary.rs
@@ -4,7 +4,9 @@
 use fulmarhead_lib::{
     clock::Clock,
     forward::Progress,
-    quarantine::{AnswerStage, CrashId, PartSet, Quarantine, RequestLoss, SUSTAINED_TIME},
+    quarantine::{
+        AnswerStage, CrashId, Feature, FeatureSet, Quarantine, RequestLoss, SUSTAINED_TIME,
+    },
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -51,7 +53,7 @@
 /// What the entries see of one request.
 #[derive(Clone, Debug)]
 enum Event {
-    Reached(AnswerStage, PartSet),
+    Reached(AnswerStage, FeatureSet),
     Lost(RequestLoss),
 }
 
@@ -109,7 +111,7 @@
 
 /// Returns the events of a request that arrives at `at`, with their times.
 fn play_request(
-    parts: &PartSet,
+    parts: &FeatureSet,
     mut at: f64,
     outages: &[Outage],
     random: &mut ChaCha8Rng,
@@ -143,7 +145,7 @@
             _ => Progress::Streaming,
         };
         let crash_id = CrashId { target: format!("t{target} at {crash}"), started_at: None };
-        let loss = RequestLoss { crash: crash_id, progress, parts: parts.clone() };
+        let loss = RequestLoss { crash: crash_id, progress, features: parts.clone() };
         events.push((crash, Event::Lost(loss)));
         at = crash + 0.005;
     }
@@ -161,7 +163,7 @@
         let part = PARTS.powf(random.random::<f64>()) as u64;
         let second = 1_000 + PARTS.powf(random.random::<f64>()) as u64;
         let session = 2_000 + random.random_range(0..SESSIONS);
-        let parts = PartSet::from([part, second, session]);
+        let parts = FeatureSet::from([part, second, session].map(Feature::Part));
         events.extend(play_request(&parts, at, &outages, &mut random));
     }
     events.sort_by(|(a, _), (b, _)| a.total_cmp(b));
