--- a/gateway/src/peers/task.rs
+++ b/gateway/src/peers/task.rs
@@ -8,9 +8,7 @@
 use fulmarhead_lib::membership::Link;
 use fulmarhead_runtime::{control::control_transport, supervisor::TaskResult};
 use log::info;
-use std::{
-    collections::BTreeMap, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
-};
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::{
     client::{Config, RpcError},
     context,
@@ -50,25 +48,35 @@
     Call(#[from] RpcError),
 }
 
+/// Task that exchanges state with one peer.
+struct PeerTask {
+    /// Cancelled when the peer is no longer selected. One more exchange then tells it why: the relay
+    /// that an entry leaves for another one may not know of that one otherwise, and stay a relay.
+    leave: CancellationToken,
+    handle: AbortHandle,
+}
+
 /// Runs one task for each peer that the roster selects, until `stop` is cancelled.
 pub(crate) async fn exchange_with_peers(
     gateway: Arc<Gateway>,
     stop: CancellationToken,
 ) -> TaskResult {
     let mut tasks = JoinSet::new();
-    let mut running: BTreeMap<(SocketAddr, Link), AbortHandle> = BTreeMap::new();
+    let mut running: BTreeMap<(SocketAddr, Link), PeerTask> = BTreeMap::new();
     loop {
         let links = gateway.peer_links();
         running.retain(|(address, link), task| {
             let is_selected = links.get(address) == Some(link);
             if !is_selected {
-                task.abort();
+                task.leave.cancel();
             }
-            is_selected && !task.is_finished()
+            is_selected && !task.handle.is_finished()
         });
         for (address, link) in links {
             running.entry((address, link)).or_insert_with(|| {
-                tasks.spawn(exchange_with_peer(Arc::clone(&gateway), address, link))
+                let leave = CancellationToken::new();
+                let task = exchange_with_peer(Arc::clone(&gateway), address, link, leave.clone());
+                PeerTask { leave, handle: tasks.spawn(task) }
             });
         }
         tokio::select! {
@@ -79,26 +87,30 @@
     }
 }
 
-async fn exchange_with_peer(gateway: Arc<Gateway>, address: SocketAddr, link: Link) {
+async fn exchange_with_peer(
+    gateway: Arc<Gateway>,
+    address: SocketAddr,
+    link: Link,
+    leave: CancellationToken,
+) {
     let mut connected = false;
-    let error = match exchange(&gateway, address, link, &mut connected).await {
-        Ok(never) => match never {},
-        Err(error) => error,
-    };
+    let result = exchange(&gateway, address, link, &leave, &mut connected).await;
+    let Err(error) = result else { return };
     gateway.roster().record_failure(address, gateway.clock.now());
     if connected {
         info!(target: "decision", address:%, link:%, error:%; "lost a peer");
     }
 }
 
-/// Exchanges with one peer until a call fails. Sets `connected` after the first successful
-/// exchange.
+/// Exchanges with one peer until a call fails, or once more after `leave` is cancelled. Sets
+/// `connected` after the first successful exchange.
 async fn exchange(
     gateway: &Gateway,
     address: SocketAddr,
     link: Link,
+    leave: &CancellationToken,
     connected: &mut bool,
-) -> Result<Infallible, ExchangeError> {
+) -> Result<(), ExchangeError> {
     let connect = timeout(CALL_TIMEOUT, TcpStream::connect(address));
     let stream = connect.await.map_err(|_| ExchangeError::Timeout)??;
     let client =
@@ -108,6 +120,7 @@
     let mut session = PeerSession::new(link, gateway.next_connection());
     let mut urgent = false;
     loop {
+        let is_last = leave.is_cancelled();
         let requested_at = gateway.clock.uptime();
         peer_updates.mark_unchanged();
         let mut context = context::current();
@@ -119,10 +132,16 @@
             info!(target: "decision", address:%, link:%; "reached a peer");
             *connected = true;
         }
+        if is_last {
+            return Ok(());
+        }
         urgent = false;
         if !session.has_pending_parts() {
-            // The channel closes only when the gateway stops.
-            urgent = timeout(interval(link), peer_updates.changed()).await.is_ok();
+            tokio::select! {
+                // The channel closes only when the gateway stops.
+                update = timeout(interval(link), peer_updates.changed()) => urgent = update.is_ok(),
+                () = leave.cancelled() => {}
+            }
         }
         sleep(MIN_EXCHANGE_INTERVAL).await;
     }
