--- a/gateway/src/dump.rs
+++ b/gateway/src/dump.rs
@@ -1,6 +1,9 @@
 //! State that a gateway reports to operators.
 
-use crate::{gateway::Gateway, quarantine::parts_text};
+use crate::{
+    gateway::Gateway,
+    quarantine::{contents_text, parts_text},
+};
 use fulmarhead_lib::quarantine::FeatureSet;
 use fulmarhead_runtime::ops::StateDump;
 use serde_json::{Value, json};
@@ -23,8 +26,10 @@
         });
         let limits: BTreeMap<_, _> = limits.collect();
         let quarantine = state.quarantine.summary();
-        let encode =
-            |sets: &BTreeSet<FeatureSet>| -> Vec<String> { sets.iter().map(parts_text).collect() };
+        let encode = |sets: &BTreeSet<FeatureSet>, text: fn(&FeatureSet) -> String| {
+            let texts = sets.iter().map(text).filter(|text| !text.is_empty());
+            texts.collect::<Vec<String>>()
+        };
         json!({
             "node": self.settings.vm_name,
             "zone": self.settings.zone,
@@ -38,8 +43,10 @@
             "zones_out": pool.excluded_zones,
             "limited_targets": limits,
             "reporting_peers": pool.reports,
-            "quarantined_parts": encode(&quarantine.held),
-            "parts_on_trial": encode(&quarantine.on_trial),
+            "quarantined_parts": encode(&quarantine.held, parts_text),
+            "parts_on_trial": encode(&quarantine.on_trial, parts_text),
+            "quarantined_contents": encode(&quarantine.held, contents_text),
+            "contents_on_trial": encode(&quarantine.on_trial, contents_text),
             "target_crashes": quarantine.crashes,
             "open_requests": self.open_requests.count_stages(),
             "entries": entry_count,
--- a/gateway/src/quarantine/decisions.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -73,13 +73,21 @@
             return;
         }
         for Detection { features, targets, spell } in detections {
-            metrics::counter!("fulmarhead_quarantined_parts_total").increment(1);
             let (parts, contents) = (parts_text(&features), contents_text(&features));
             let (crashes, targets) = (targets.len(), targets.join(","));
-            warn!(
-                target: "decision", parts, contents, spell, crashes, targets;
-                "quarantined parts of prompts that crash targets"
-            );
+            if parts.is_empty() {
+                metrics::counter!("fulmarhead_quarantined_contents_total").increment(1);
+                warn!(
+                    target: "decision", contents, spell, crashes, targets;
+                    "quarantined a request that crashes targets"
+                );
+            } else {
+                metrics::counter!("fulmarhead_quarantined_parts_total").increment(1);
+                warn!(
+                    target: "decision", parts, spell, crashes, targets;
+                    "quarantined parts of prompts that crash targets"
+                );
+            }
         }
         self.quarantine_updates.send_modify(|count| *count += 1);
     }
@@ -123,7 +131,7 @@
 }
 
 /// Returns the digests of contents among `features` in the same way.
-fn contents_text(features: &FeatureSet) -> String {
+pub(crate) fn contents_text(features: &FeatureSet) -> String {
     ids_text(features, |feature| match feature {
         Feature::Content(content) => Some(*content),
         Feature::Part(_) => None,
--- a/gateway/src/quarantine/mod.rs
+++ b/gateway/src/quarantine/mod.rs
@@ -5,6 +5,6 @@
 mod task;
 
 pub(crate) use self::{
-    decisions::parts_text,
+    decisions::{contents_text, parts_text},
     task::{LossReceiver, LossSender, confirm_crashes},
 };
--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -193,7 +193,7 @@
     };
     let content = content.digest();
     let context = RequestContext {
-        features: head.shared_parts.iter().copied().map(Feature::Part).collect(),
+        features: request_features(&head, content),
         content,
         profile: request_profile(&head, &route_match),
         streaming: route_match.route.streaming,
@@ -215,6 +215,12 @@
     forward(context, call).await
 }
 
+/// Returns the features by which a request can be quarantined.
+fn request_features(head: &RequestHead, content: ContentDigest) -> FeatureSet {
+    let parts = head.shared_parts.iter().copied().map(Feature::Part);
+    parts.chain([Feature::Content(content)]).collect()
+}
+
 fn deny_request(
     gateway: &Gateway,
     head: &RequestHead,
--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -20,6 +20,10 @@
 /// Weight of a crash in which no answer had begun, for a feature of a request that waited.
 const WAITING_WEIGHT: u32 = 2;
 
+/// The same for the content of a request that waited. Calls do not begin their answers before these
+/// are complete, and few of them run at a time.
+const WAITING_CONTENT_WEIGHT: u32 = 3;
+
 /// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashId {
@@ -122,7 +126,10 @@
             let started = self.started.iter().filter(is_started);
             suspects.extend(started.map(|feature| (*feature, STARTED_WEIGHT)));
             let waiting = self.waiting.iter().filter(silent);
-            suspects.extend(waiting.map(|feature| (*feature, WAITING_WEIGHT)));
+            suspects.extend(waiting.map(|feature| match feature {
+                Feature::Part(_) => (*feature, WAITING_WEIGHT),
+                Feature::Content(_) => (*feature, WAITING_CONTENT_WEIGHT),
+            }));
         }
         suspects
     }
@@ -163,6 +170,11 @@
         self.begun.iter().chain(self.only_started()).chain(&self.waiting).copied()
     }
 
+    /// Returns the contents of the requests that may have caused the crash.
+    pub(super) fn contents(&self) -> FeatureSet {
+        self.features().filter(Feature::is_content).collect()
+    }
+
     /// Returns the number of features that are recorded.
     pub(super) fn suspect_count(&self) -> usize {
         self.begun.len() + self.started.len() + self.waiting.len()
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -20,6 +20,10 @@
 /// The same if one of the crashes came after the first event: six such crashes in a row.
 const STARTED_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
 
+/// The same for a content that was answered before. It is more likely a victim, as a call that many
+/// callers repeat is while all targets of its service crash.
+const ANSWERED_CONVICTION_WEIGHT: u32 = 2 * CONVICTION_WEIGHT;
+
 /// Weight of the evidence from which a request that lost its target is not sent to another one: two
 /// crashes of targets that had begun to answer a request with the feature.
 const SUSPICION_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
@@ -76,20 +80,25 @@
         let mut detections = Vec::new();
         // The bound guards against holds that displace each other.
         for _ in 0..MAX_HOLDS {
-            let Some(set) = self.strongest_suspects(now) else { break };
-            detections.push(self.hold(set, now, 1));
+            let sets = self.strongest_suspects(now);
+            if sets.is_empty() {
+                break;
+            }
+            detections.extend(sets.into_iter().map(|set| self.hold(set, now, 1)));
         }
         detections
     }
 
-    /// Returns the most suspected features if there is enough evidence against them and they are
-    /// not quarantined yet: several if they were in the same requests each time, so that the
-    /// evidence does not say which of them crashes targets.
-    fn strongest_suspects(&self, now: Instant) -> Option<FeatureSet> {
+    /// Returns the sets to hold because of the most suspected features, if there is enough evidence
+    /// against these and they are not quarantined yet.
+    ///
+    /// Several parts that were in the same requests each time become one set, since the evidence does
+    /// not say which of them crashes targets. No request has two contents, so that each is a set.
+    fn strongest_suspects(&self, now: Instant) -> Vec<FeatureSet> {
         // Of equally suspected features, one that sound requests share was answered last.
         let mut groups: BTreeMap<_, FeatureSet> = BTreeMap::new();
         for (feature, suspicion) in self.suspicions(now) {
-            if self.is_proved(&suspicion) {
+            if self.is_proved(feature, &suspicion) {
                 let rank = (
                     suspicion.weight,
                     Reverse(self.log(AnswerStage::Sustained).last(feature)),
@@ -98,16 +107,38 @@
                 groups.entry(rank).or_default().insert(feature);
             }
         }
-        groups.into_values().rev().find(|set| !self.is_covered(set))
+        let split = |group: FeatureSet| {
+            let (contents, parts): (FeatureSet, FeatureSet) =
+                group.into_iter().partition(Feature::is_content);
+            let contents = contents.into_iter().map(|content| FeatureSet::from([content]));
+            let sets = contents.chain([parts]).filter(|set| !set.is_empty());
+            sets.filter(|set| !self.is_covered(set)).collect::<Vec<FeatureSet>>()
+        };
+        let sets = groups.into_values().rev().map(split);
+        sets.into_iter().find(|sets| !sets.is_empty()).unwrap_or_default()
     }
 
-    fn is_proved(&self, suspicion: &Suspicion) -> bool {
+    /// Returns whether the evidence against `feature` is enough to hold it.
+    ///
+    /// A content that was never answered is held for its own crashes, whatever else happens: only the
+    /// repeats of one request are refused if it is a victim.
+    fn is_proved(&self, feature: Feature, suspicion: &Suspicion) -> bool {
         let Suspicion { weight, has_started, first_at, .. } = *suspicion;
+        let was_answered = self.log(AnswerStage::Sustained).last(feature).is_some();
+        if feature.is_content() && !was_answered {
+            return weight >= CONVICTION_WEIGHT;
+        }
+        if !self.has_other_answers(first_at) {
+            return false;
+        }
+        if feature.is_content() {
+            return weight >= ANSWERED_CONVICTION_WEIGHT;
+        }
         let needed = if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
         let share = f64::from(weight) / f64::from(self.evidence.weight_since(first_at).max(1));
         weight >= needed
             && (share >= MIN_CRASH_SHARE || weight >= 2 * needed)
-            && self.has_other_answers(first_at)
+            && self.evidence.is_of_many_requests(&suspicion.crashes)
     }
 
     /// Returns whether all requests with the features of `set` are held or on trial.
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -20,10 +20,14 @@
 /// features that one request can have; the oldest crashes are forgotten first.
 const MAX_SUSPECTS: usize = 32_768;
 
-/// Minimum time between two crashes for both to count. Targets that crash together have a common
+/// Minimum time between two crashes for both to count against a part. Targets that crash together have a common
 /// cause, such as a power failure, of which many requests with a common feature are victims.
 const MIN_SPACING: Duration = Duration::from_millis(50);
 
+/// Number of requests whose repeats can crash targets while a part that they share with sound requests
+/// is not held for it.
+const REPEATED_REQUESTS: usize = 2;
+
 /// Evidence that a feature crashes targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Suspicion {
@@ -44,9 +48,9 @@
         Self { weight, has_started, first_at: at, last_counted: at, crashes: vec![crash] }
     }
 
-    fn add(&mut self, at: Instant, weight: u32, crash: usize) {
+    fn add(&mut self, at: Instant, weight: u32, crash: usize, spacing: Duration) {
         self.crashes.push(crash);
-        if at.saturating_duration_since(self.last_counted) >= MIN_SPACING {
+        if at.saturating_duration_since(self.last_counted) >= spacing {
             self.weight += weight;
             self.has_started |= weight == STARTED_WEIGHT;
             self.last_counted = at;
@@ -119,7 +123,8 @@
 
     /// Returns the suspicion of each feature that is a suspect of several crashes.
     ///
-    /// A crash does not count for a feature if one of `holds` without that feature explains it.
+    /// A crash does not count for a feature if one of `holds` without that feature explains it. A
+    /// content that is held does not clear a part: the request may crash targets because of the part.
     /// `is_silent` says whether no answer to a request with a feature has begun for some time.
     pub(super) fn suspicions(
         &self,
@@ -135,24 +140,52 @@
         if repeated.is_empty() {
             return suspicions;
         }
-        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
-        crashes.sort_by_key(|crash| crash.at);
-        for (position, crash) in crashes.into_iter().enumerate() {
+        for (position, crash) in self.in_order().into_iter().enumerate() {
             let explaining: Vec<&&FeatureSet> =
                 holds.iter().filter(|held| crash.is_explained_by(held, now)).collect();
             for (feature, weight) in crash.suspects(&repeated, &is_silent, now) {
-                if explaining.iter().any(|held| !held.contains(&feature)) {
+                let clears = |held: &FeatureSet| {
+                    let of_contents = held.iter().all(Feature::is_content);
+                    !held.contains(&feature) && (feature.is_content() || !of_contents)
+                };
+                if explaining.iter().any(|held| clears(held)) {
                     continue;
                 }
+                // A request that is sent again at once crashes its targets within a few milliseconds.
+                let spacing = if feature.is_content() { Duration::ZERO } else { MIN_SPACING };
                 suspicions
                     .entry(feature)
-                    .and_modify(|suspicion| suspicion.add(crash.at, weight, position))
+                    .and_modify(|suspicion| suspicion.add(crash.at, weight, position, spacing))
                     .or_insert_with(|| Suspicion::new(crash.at, weight, position));
             }
         }
         suspicions
     }
 
+    /// Returns whether more than [`REPEATED_REQUESTS`] contents are needed for one in each of the
+    /// crashes at `positions`, so that repeats of a few requests do not explain them.
+    pub(super) fn is_of_many_requests(&self, positions: &[usize]) -> bool {
+        let crashes = self.in_order();
+        let mut contents: Vec<FeatureSet> =
+            positions.iter().map(|position| crashes[*position].contents()).collect();
+        for _ in 0..REPEATED_REQUESTS {
+            let mut counts: BTreeMap<Feature, usize> = BTreeMap::new();
+            for content in contents.iter().flatten() {
+                *counts.entry(*content).or_default() += 1;
+            }
+            let Some((most, _)) = counts.into_iter().max_by_key(|(_, count)| *count) else { break };
+            contents.retain(|of_crash| !of_crash.contains(&most));
+        }
+        !contents.is_empty()
+    }
+
+    /// Returns the crashes in the order of time.
+    fn in_order(&self) -> Vec<&Crash> {
+        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
+    }
+
     /// Returns the weight of the crashes since `since` for a feature that is suspected of all of
     /// them.
     pub(super) fn weight_since(&self, since: Instant) -> u32 {
@@ -168,10 +201,14 @@
         count * BEGUN_WEIGHT
     }
 
-    /// Returns whether all of `features` were in requests that the target was answering when it
-    /// crashed as `id`.
-    pub(super) fn crashed_while_answering(&self, id: &CrashId, features: &FeatureSet) -> bool {
-        self.crashes.get(id).is_some_and(|crash| crash.was_answering_all(features))
+    /// Returns whether requests with `features`, which are on trial, caused the crash `id`. The target
+    /// was answering them, or no other one if they are a content: a call has no answer that begins
+    /// before it is complete.
+    pub(super) fn was_caused_by(&self, id: &CrashId, features: &FeatureSet) -> bool {
+        let of_contents = features.iter().all(Feature::is_content);
+        self.crashes.get(id).is_some_and(|crash| {
+            crash.was_answering_all(features) || (of_contents && crash.involves_all(features))
+        })
     }
 
     /// Returns the targets whose crashes `features` are suspected of, for the log.
--- a/lib/src/quarantine/feature.rs
+++ b/lib/src/quarantine/feature.rs
@@ -13,5 +13,12 @@
     Content(ContentDigest),
 }
 
+impl Feature {
+    /// Returns whether the feature is the content of a request.
+    pub fn is_content(&self) -> bool {
+        matches!(self, Self::Content(_))
+    }
+}
+
 /// Features of one or several requests.
 pub type FeatureSet = BTreeSet<Feature>;
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -280,7 +280,7 @@
 
     /// Holds again the features on trial that were lost in the crash `id`.
     fn renew_holds(&mut self, id: &CrashId, now: Instant) -> Vec<Detection> {
-        let is_involved = |set: &&FeatureSet| self.evidence.crashed_while_answering(id, set);
+        let is_involved = |set: &&FeatureSet| self.evidence.was_caused_by(id, set);
         let involved = self.on_trial.keys().filter(is_involved);
         let involved: Vec<FeatureSet> = involved.cloned().collect();
         let renew = |set: FeatureSet| {
--- a/lib/tests/quarantine/fixture.rs
+++ b/lib/tests/quarantine/fixture.rs
@@ -72,6 +72,38 @@
         self.entries[entry].record_losses(vec![(loss, now)], now);
     }
 
+    /// Records that `entry` lost a request with `features` in the crash of a new target.
+    pub(crate) fn lose(&mut self, entry: usize, progress: Progress, features: &FeatureSet) {
+        self.crashes += 1;
+        self.lose_at_same_target(entry, progress, features);
+    }
+
+    /// Records that `entry` lost another request in the last crash.
+    pub(crate) fn lose_at_same_target(
+        &mut self,
+        entry: usize,
+        progress: Progress,
+        features: &FeatureSet,
+    ) {
+        let crash = CrashId { target: format!("t{}", self.crashes), started_at: None };
+        let loss = RequestLoss { crash, progress, features: features.clone() };
+        let now = self.clock.now();
+        self.entries[entry].record_losses(vec![(loss, now)], now);
+    }
+
+    /// Records that a request with `features` was answered at `entry`.
+    pub(crate) fn answer_to(&mut self, entry: usize, features: &FeatureSet) {
+        let now = self.clock.now();
+        for stage in [AnswerStage::FirstEvent, AnswerStage::Sustained] {
+            self.entries[entry].record_stage(stage, features, now);
+        }
+    }
+
+    /// Returns whether `entry` would send a request with `features`.
+    pub(crate) fn sends(&self, entry: usize, features: &FeatureSet) -> bool {
+        self.entries[entry].refusal(features, self.clock.now()).is_none()
+    }
+
     /// Records that a request with `parts` was answered at `entry`.
     pub(crate) fn answer(&mut self, entry: usize, parts: &[PromptPartId]) {
         self.reach(entry, AnswerStage::FirstEvent, parts);
--- a/lib/tests/quarantine/main.rs
+++ b/lib/tests/quarantine/main.rs
@@ -5,3 +5,4 @@
 mod fixture;
 mod holds;
 mod ordinary;
+mod repeats;
--- a/lib/tests/quarantine/ordinary.rs
+++ b/lib/tests/quarantine/ordinary.rs
@@ -24,6 +24,9 @@
 /// Number of parts that requests share; the first of them are in most requests.
 const PARTS: f64 = 60.0;
 
+/// Number of contents of requests.
+const CONTENTS: f64 = 100_000.0;
+
 /// Number of sessions whose requests share a part with each other alone.
 const SESSIONS: u64 = 400;
 
@@ -163,8 +166,11 @@
         let part = PARTS.powf(random.random::<f64>()) as u64;
         let second = 1_000 + PARTS.powf(random.random::<f64>()) as u64;
         let session = 2_000 + random.random_range(0..SESSIONS);
-        let parts = FeatureSet::from([part, second, session].map(Feature::Part));
-        events.extend(play_request(&parts, at, &outages, &mut random));
+        // Few contents come often, such as calls that many callers repeat.
+        let content = CONTENTS.powf(random.random::<f64>()) as u64;
+        let parts = [part, second, session].map(Feature::Part);
+        let features = parts.into_iter().chain([Feature::Content(content)]).collect();
+        events.extend(play_request(&features, at, &outages, &mut random));
     }
     events.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     let clock = ManualClock::default();
--- /dev/null
+++ b/lib/tests/quarantine/repeats.rs
@@ -0,0 +1,179 @@
+//! Tests of one request that crashes its targets, and whose caller repeats it.
+
+use crate::fixture::{CRASHING, FIRST, Fixture, INTERVAL};
+use fulmarhead_lib::{
+    clock::Clock,
+    forward::Progress::{self, Begun, Started, Waiting},
+    ids::{ContentDigest, PromptPartId},
+    quarantine::{Content, Feature, FeatureSet},
+};
+use std::time::Duration;
+use testutils::cases;
+
+/// Content that crashes targets.
+const DEADLY: ContentDigest = 0xdead;
+
+/// Time after which a crash counts for requests that waited.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which a hold and its spread are over.
+const FIRST_HOLD: Duration = Duration::from_secs(720);
+
+/// Returns the features of a request with `parts`.
+fn request(parts: &[PromptPartId], content: ContentDigest) -> FeatureSet {
+    let parts = parts.iter().copied().map(Feature::Part);
+    parts.chain([Feature::Content(content)]).collect()
+}
+
+/// Crashes a target at each of `contents`, all of requests with `parts`, and checks which of `sent`
+/// are sent afterwards.
+fn check_contents(
+    parts: &[PromptPartId],
+    contents: &[ContentDigest],
+    sent: &[(&[PromptPartId], ContentDigest, bool)],
+) {
+    let mut fixture = Fixture::new(1);
+    for content in contents {
+        fixture.answer_to(0, &request(&[], 0xa0));
+        fixture.lose(0, Begun, &request(parts, *content));
+        fixture.clock.advance(INTERVAL);
+    }
+    for (parts, content, expected) in sent {
+        let sends = fixture.sends(0, &request(parts, *content));
+        assert_eq!(sends, *expected, "{parts:x?} {content:x}");
+    }
+}
+
+cases! {
+    check_contents {
+        /// Guards against a request that is carried from target to target under new identifiers.
+        repeated_request_is_held: (
+            &[FIRST], &[DEADLY; 4],
+            &[(&[FIRST], DEADLY, false), (&[FIRST], 1, true)],
+        ),
+        /// Guards against refusing sound requests because of a part that they share with it.
+        shared_part_is_not_held: (
+            &[FIRST], &[DEADLY; 9],
+            &[(&[FIRST], DEADLY, false), (&[FIRST], 1, true)],
+        ),
+        two_repeated_requests: (
+            &[FIRST], &[DEADLY, 0xde, DEADLY, 0xde, DEADLY, 0xde, DEADLY, 0xde],
+            &[(&[FIRST], DEADLY, false), (&[FIRST], 0xde, false), (&[FIRST], 1, true)],
+        ),
+        /// Guards against a part that is not held because repeats explain some of the crashes.
+        crashing_part_of_requests_that_are_repeated: (
+            &[CRASHING], &[1, 1, 2, 2, 3],
+            &[(&[CRASHING], 9, false), (&[], 1, true)],
+        ),
+        part_after_a_held_content: (
+            &[CRASHING], &[1, 1, 1, 1, 2, 2, 3],
+            &[(&[CRASHING], 9, false), (&[], 1, false)],
+        ),
+    }
+}
+
+/// Checks that a content which is lost in crashes with the progress of each of `losses` is held after
+/// the last of them and not before.
+fn check_threshold(losses: &[Progress], was_answered: bool) {
+    let mut fixture = Fixture::new(1);
+    let deadly = request(&[], DEADLY);
+    if was_answered {
+        fixture.answer_to(0, &deadly);
+    }
+    for progress in losses {
+        fixture.clock.advance(3 * SETTLING_TIME);
+        fixture.answer_to(0, &request(&[], 0xa0));
+        assert!(fixture.sends(0, &deadly), "held too early");
+        fixture.lose(0, *progress, &deadly);
+        fixture.clock.advance(SETTLING_TIME);
+        let now = fixture.clock.now();
+        fixture.entries[0].review(now);
+    }
+    assert!(!fixture.sends(0, &deadly), "not held");
+}
+
+cases! {
+    check_threshold {
+        /// Guards against more than three crashes after the third, which shows the cause.
+        answers_that_begin: (&[Begun; 4], false),
+        /// Guards against a call that is never held because its answer does not begin.
+        calls: (&[Waiting; 6], false),
+        answers_that_have_begun_to_write: (&[Started; 6], false),
+        /// Guards against holding a call that many callers repeat while its service is down.
+        calls_that_were_answered_before: (&[Waiting; 11], true),
+    }
+}
+
+/// Guards against refusing the requests that wait at targets which crash at another one, and a call
+/// that many callers repeat when its targets lose power together.
+#[test]
+fn victims_are_not_held() {
+    let mut fixture = Fixture::new(1);
+    for _ in 0..8 {
+        fixture.lose(0, Begun, &request(&[FIRST], DEADLY));
+        fixture.lose_at_same_target(0, Waiting, &request(&[FIRST], 1));
+        fixture.clock.advance(SETTLING_TIME);
+    }
+    fixture.answer_to(0, &request(&[], 2));
+    fixture.clock.advance(4 * SETTLING_TIME);
+    for _ in 0..7 {
+        fixture.lose(0, Begun, &request(&[], 2));
+        fixture.clock.advance(Duration::from_millis(1));
+    }
+    assert!(!fixture.sends(0, &request(&[FIRST], DEADLY)));
+    assert!(fixture.sends(0, &request(&[FIRST], 1)));
+    assert!(fixture.sends(0, &request(&[], 2)));
+}
+
+/// Guards against entries that each have to see all crashes.
+#[test]
+fn crashes_at_several_entries_count_together() {
+    let mut fixture = Fixture::new(3);
+    for crash in 0..4 {
+        fixture.lose(crash % 3, Begun, &request(&[FIRST], DEADLY));
+        fixture.clock.advance(INTERVAL);
+    }
+    fixture.exchange_all();
+    for entry in 0..3 {
+        assert!(!fixture.sends(entry, &request(&[FIRST], DEADLY)), "entry {entry}");
+        assert!(fixture.sends(entry, &request(&[FIRST], 1)), "entry {entry}");
+    }
+}
+
+/// Guards against a call that crashes a target in each trial without being held for longer.
+#[test]
+fn call_that_crashes_its_trial_is_held_again() {
+    let mut fixture = Fixture::new(1);
+    let deadly = request(&[], DEADLY);
+    for _ in 0..4 {
+        fixture.lose(0, Begun, &deadly);
+        fixture.clock.advance(INTERVAL);
+    }
+    fixture.clock.advance(FIRST_HOLD);
+    let now = fixture.clock.now();
+    assert!(fixture.entries[0].begin_send(&deadly, now).is_ok());
+    fixture.lose(0, Waiting, &deadly);
+    fixture.clock.advance(FIRST_HOLD);
+    assert!(!fixture.sends(0, &deadly), "not held for longer");
+}
+
+const CONTENT: Content<'_> =
+    Content { method: "POST", host: "h.example", path: "/a/b", team: Some("club"), body: b"c" };
+
+/// Checks whether a content has the same digest as `CONTENT`.
+fn check_digest(other: Content<'_>, same: bool) {
+    assert_eq!(other.digest() == CONTENT.digest(), same);
+}
+
+cases! {
+    check_digest {
+        repeat: (CONTENT, true),
+        host_in_capitals: (Content { host: "H.Example", ..CONTENT }, true),
+        /// Guards against refusing another caller's request, or another request of the same caller.
+        other_team: (Content { team: None, ..CONTENT }, false),
+        other_path: (Content { path: "/a/c", ..CONTENT }, false),
+        other_method: (Content { method: "PUT", ..CONTENT }, false),
+        other_body: (Content { body: b"d", ..CONTENT }, false),
+        field_boundary: (Content { path: "/a/bc", team: Some("lub"), ..CONTENT }, false),
+    }
+}
