--- a/runtime/tests/client.rs
+++ b/runtime/tests/client.rs
@@ -136,3 +136,95 @@
         assert_eq!(events.next().await.unwrap().unwrap().data, "a");
     }
 }
+
+/// Size of a body that a server which does not read can't take into its buffers, in bytes.
+const UPLOAD_BYTES: usize = 64 << 20;
+
+/// Number of uploads that are reset in each case.
+const RESETS: usize = 50;
+
+/// How a server treats the rest of an upload between its response and the reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rest {
+    /// Reads nothing, so that the client waits until it can write.
+    Left,
+    /// Reads on, so that the client is writing all the time.
+    Read,
+}
+
+/// Time from the response of a server to its reset.
+const RESET_DELAY: Duration = Duration::from_millis(5);
+
+/// Starts a server that reads the beginning of each request, sends `response` while the rest is being
+/// written, and resets the connection after `RESET_DELAY`.
+async fn start_resetting_server(response: &'static [u8], rest: Rest) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut connection, _) = listener.accept().await.unwrap();
+            let mut buffer = vec![0; 64 << 10];
+            let _ = connection.read(&mut buffer).await;
+            connection.write_all(response).await.unwrap();
+            let read_on = async {
+                while rest == Rest::Read && matches!(connection.read(&mut buffer).await, Ok(1..)) {}
+                std::future::pending::<()>().await;
+            };
+            let _ = timeout(RESET_DELAY, read_on).await;
+            connection.set_zero_linger().unwrap();
+        }
+    });
+    address
+}
+
+/// Checks that the response to an upload is not taken for a complete one if the connection is reset
+/// while the upload is written. Repeats that, since the client can notice the reset as it reads or as
+/// it writes.
+fn check_reset(response: &'static [u8], rest: Rest) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let endpoint = Endpoint::new(start_resetting_server(response, rest).await, "/");
+        let upload = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+        let mut responses = 0;
+        for _ in 0..RESETS {
+            let client = Client::without_pool();
+            let sent = client.send(Method::POST, &endpoint, HeaderMap::new(), upload.clone());
+            let Ok(response) = sent.await else { continue };
+            responses += 1;
+            let body = read_body(response.into_body(), 1_024).await;
+            assert!(body.is_err(), "a part counts as the complete body: {body:?}");
+        }
+        assert!(responses > 0, "no response came before the reset");
+    });
+}
+
+const WITHOUT_LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\n\r\npart";
+const CLOSED: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
+const CHUNKED: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+const LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\npart";
+const NO_BODY_YET: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n";
+
+cases! {
+    check_reset {
+        /// Guards against a part of a response that counts as all of it, because the connection was
+        /// reset while the request was still being written.
+        reset_without_length: (WITHOUT_LENGTH, Rest::Left),
+        reset_without_length_while_writing: (WITHOUT_LENGTH, Rest::Read),
+        reset_after_close_without_length: (CLOSED, Rest::Left),
+        reset_after_close_while_writing: (CLOSED, Rest::Read),
+        reset_before_the_body: (NO_BODY_YET, Rest::Left),
+        reset_before_the_body_while_writing: (NO_BODY_YET, Rest::Read),
+        reset_in_chunks: (CHUNKED, Rest::Read),
+        reset_within_the_length: (LENGTH, Rest::Read),
+    }
+}
+
+/// Guards against a status that HTTP does not have and that is taken for an answer.
+#[tokio::test]
+async fn status_000_is_no_response() {
+    let response = b"HTTP/1.1 000 Trouble\r\ncontent-length: 4\r\n\r\ndone";
+    let endpoint = Endpoint::new(start_resetting_server(response, Rest::Left).await, "/");
+    let client = Client::without_pool();
+    let sent = client.send(Method::POST, &endpoint, HeaderMap::new(), Bytes::new()).await;
+    assert!(sent.is_err(), "{sent:?}");
+}
