--- a/cli/tests/check_against.rs
+++ b/cli/tests/check_against.rs
@@ -203,8 +203,9 @@
 /// Guards against an unreachable service that counts as one without differences.
 #[test]
 fn unreachable_service_fails() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-    let output = run(&["proposal.json", "--against", &closed]);
+    // A port that the system never gives to another test, unlike one that was bound before.
+    let closed = "127.0.0.1:1";
+    let output = run(&["proposal.json", "--against", closed]);
     let error = &lines(&output.stderr)[0];
     assert!(error.starts_with(&format!("error: {closed}: connection failed")), "{error}");
     assert_eq!(output.status.code(), Some(1));
