--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -125,20 +125,25 @@
     fn is_proved(&self, feature: Feature, suspicion: &Suspicion) -> bool {
         let Suspicion { weight, has_started, first_at, .. } = *suspicion;
         let was_answered = self.log(AnswerStage::Sustained).last(feature).is_some();
-        if feature.is_content() && !was_answered {
-            return weight >= CONVICTION_WEIGHT;
-        }
-        if !self.has_other_answers(first_at) {
-            return false;
-        }
-        if feature.is_content() {
-            return weight >= ANSWERED_CONVICTION_WEIGHT;
+        match feature {
+            Feature::Content(_) if was_answered => {
+                weight >= ANSWERED_CONVICTION_WEIGHT && self.has_other_answers(first_at)
+            }
+            Feature::Content(_) => weight >= CONVICTION_WEIGHT,
+            Feature::Part(_) => {
+                let needed =
+                    if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
+                let all = self.evidence.weight_since(first_at).max(1);
+                let share = f64::from(weight) / f64::from(all);
+                let is_sure = weight >= 2 * needed;
+                // In a quiet hour there may be no other requests.
+                let is_singular = self.has_other_answers(first_at) || (is_sure && !was_answered);
+                weight >= needed
+                    && (share >= MIN_CRASH_SHARE || is_sure)
+                    && is_singular
+                    && self.evidence.is_of_many_requests(&suspicion.crashes)
+            }
         }
-        let needed = if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
-        let share = f64::from(weight) / f64::from(self.evidence.weight_since(first_at).max(1));
-        weight >= needed
-            && (share >= MIN_CRASH_SHARE || weight >= 2 * needed)
-            && self.evidence.is_of_many_requests(&suspicion.crashes)
     }
 
     /// Returns whether all requests with the features of `set` are held or on trial.
--- a/lib/tests/quarantine/detection.rs
+++ b/lib/tests/quarantine/detection.rs
@@ -120,6 +120,12 @@
         nothing_is_answered: (&[Crash(&[FIRST, CRASHING])], &[(&[FIRST, CRASHING], false)]),
     }
     check_refused_after {
+        /// Guards against a part that is not held for as long as few other requests come.
+        quiet_hour: (
+            2 * CRASHES, Duration::from_secs(1),
+            &[Crash(&[CRASHING])],
+            &[(&[FIRST, CRASHING], true), (&[FIRST], false)],
+        ),
         /// Guards against blaming a common part of the victims of one power failure.
         targets_that_crash_together: (
             20, Duration::from_millis(1),
@@ -273,3 +279,15 @@
 
 /// Bound on the time of `long_prompts_are_cheap`; quadratic work would take minutes.
 const LONG_PROMPTS_LIMIT: Duration = Duration::from_secs(30);
+
+/// Guards against blaming a part that all requests have while all targets fail.
+#[test]
+fn part_that_was_answered_is_not_held_while_nothing_is_answered() {
+    let mut fixture = Fixture::new(1);
+    fixture.answer(0, &[FIRST]);
+    for _ in 0..2 * CRASHES {
+        fixture.clock.advance(SILENCE);
+        fixture.crash(0, &[FIRST]);
+    }
+    assert!(fixture.allows(0, &[FIRST]));
+}
