--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -147,8 +147,9 @@
 /// then omits the other processes.
 #[test]
 fn unreachable_process_fails_the_command_but_others_are_printed() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
-    let output = run(&["status", "--json", &closed, &serve_state().to_string()]);
+    // A port that the system never gives to another test, unlike one that was bound before.
+    let closed = "127.0.0.1:1";
+    let output = run(&["status", "--json", closed, &serve_state().to_string()]);
     let state: Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_eq!((output.status.code(), &state["entries"][0]["id"]), (Some(1), &"entry-1".into()));
     let text = String::from_utf8(output.stderr).unwrap();
