--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -21,9 +21,13 @@
 const WAITING_WEIGHT: u32 = 2;
 
 /// The same for the content of a request that waited. Calls do not begin their answers before these
-/// are complete, and few of them run at a time.
+/// are complete.
 const WAITING_CONTENT_WEIGHT: u32 = 3;
 
+/// Number of lost requests up to which one that waited has `BEGUN_WEIGHT`, since it is then as likely
+/// the cause. A target runs few calls at a time.
+const FEW_REQUESTS: usize = 3;
+
 /// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashId {
@@ -126,8 +130,10 @@
             let started = self.started.iter().filter(is_started);
             suspects.extend(started.map(|feature| (*feature, STARTED_WEIGHT)));
             let waiting = self.waiting.iter().filter(silent);
+            let of_few = self.contents().len() <= FEW_REQUESTS;
             suspects.extend(waiting.map(|feature| match feature {
                 Feature::Part(_) => (*feature, WAITING_WEIGHT),
+                Feature::Content(_) if of_few => (*feature, BEGUN_WEIGHT),
                 Feature::Content(_) => (*feature, WAITING_CONTENT_WEIGHT),
             }));
         }
--- a/lib/tests/quarantine/repeats.rs
+++ b/lib/tests/quarantine/repeats.rs
@@ -73,18 +73,22 @@
 }
 
 /// Checks that a content which is lost in crashes with the progress of each of `losses` is held after
-/// the last of them and not before.
-fn check_threshold(losses: &[Progress], was_answered: bool) {
+/// the last of them and not before. Several other requests wait at the same targets if `has_others`.
+fn check_threshold(losses: &[Progress], has_others: bool, was_answered: bool) {
     let mut fixture = Fixture::new(1);
     let deadly = request(&[], DEADLY);
     if was_answered {
         fixture.answer_to(0, &deadly);
     }
-    for progress in losses {
+    for (number, progress) in losses.iter().enumerate() {
         fixture.clock.advance(3 * SETTLING_TIME);
         fixture.answer_to(0, &request(&[], 0xa0));
         assert!(fixture.sends(0, &deadly), "held too early");
         fixture.lose(0, *progress, &deadly);
+        for other in (0..4).filter(|_| has_others) {
+            let content = (4 * number + other) as ContentDigest;
+            fixture.lose_at_same_target(0, Waiting, &request(&[], content));
+        }
         fixture.clock.advance(SETTLING_TIME);
         let now = fixture.clock.now();
         fixture.entries[0].review(now);
@@ -95,12 +99,14 @@
 cases! {
     check_threshold {
         /// Guards against more than three crashes after the third, which shows the cause.
-        answers_that_begin: (&[Begun; 4], false),
+        answers_that_begin: (&[Begun; 4], false, false),
+        answers_that_have_begun_to_write: (&[Started; 6], false, false),
         /// Guards against a call that is never held because its answer does not begin.
-        calls: (&[Waiting; 6], false),
-        answers_that_have_begun_to_write: (&[Started; 6], false),
+        calls: (&[Waiting; 4], false, false),
+        calls_beside_others: (&[Waiting; 6], true, false),
         /// Guards against holding a call that many callers repeat while its service is down.
-        calls_that_were_answered_before: (&[Waiting; 11], true),
+        calls_that_were_answered_before: (&[Waiting; 8], false, true),
+        answered_calls_beside_others: (&[Waiting; 11], true, true),
     }
 }
 
