gateway, lib: log the evidence against the most suspected feature

The log named neither how many crashes counted against the part nor which condition was missing, so that these could not be told apart: a threshold that is too high, crashes that are not counted, entries that do not hear of each other, and repeats that are taken for the cause.

A gateway now logs, after each crash that it records, the most suspected feature that is not quarantined, the evidence against it, the evidence that is needed, and the other explanations (doubts) that raise it.

--- a/gateway/src/quarantine/decisions.rs
+++ b/gateway/src/quarantine/decisions.rs
@@ -6,7 +6,8 @@
     forward::Progress,
     placement::Choice,
     quarantine::{
-        AnswerStage, CrashId, Detection, Feature, FeatureSet, News, Refusal, RequestLoss,
+        AnswerStage, Assessment, CrashId, Detection, Doubt, Feature, FeatureSet, News, Refusal,
+        RequestLoss,
     },
 };
 use log::{info, warn};
@@ -54,7 +55,14 @@
 
     /// Records requests that were lost in a crash that is confirmed.
     pub(super) fn record_losses(&self, losses: Vec<(RequestLoss, Instant)>) {
-        let detections = self.state().quarantine.record_losses(losses, self.clock.now());
+        let now = self.clock.now();
+        let mut state = self.state();
+        let detections = state.quarantine.record_losses(losses, now);
+        let assessment = state.quarantine.strongest_assessment(now);
+        drop(state);
+        if let Some(assessment) = assessment {
+            log_assessment(&assessment);
+        }
         self.announce(detections);
         self.notify_peers();
     }
@@ -118,6 +126,20 @@
     }
 }
 
+/// Logs what is known against a feature that is not quarantined yet.
+fn log_assessment(assessment: &Assessment) {
+    let features = FeatureSet::from([assessment.feature]);
+    let (parts, contents) = (parts_text(&features), contents_text(&features));
+    let (crashes, evidence, required) =
+        (assessment.crashes, assessment.evidence(), assessment.required());
+    let doubts: Vec<String> = assessment.doubts.iter().map(Doubt::to_string).collect();
+    let doubts = doubts.join(",");
+    info!(
+        target: "decision", parts, contents, crashes, evidence, required, doubts;
+        "not enough evidence to quarantine the most suspected feature"
+    );
+}
+
 /// Maximum number of features that are written in one line of a log.
 const MAX_LOGGED_FEATURES: usize = 64;
 
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -1,7 +1,7 @@
 //! Detection of the features that crash targets.
 
 use super::{
-    AnswerStage, Detection, Feature, FeatureSet, Quarantine,
+    AnswerStage, Assessment, Detection, Doubt, Feature, FeatureSet, Quarantine,
     crash::{BEGUN_WEIGHT, STARTED_WEIGHT},
     evidence::Suspicion,
     registry::MAX_HOLDS,
@@ -9,7 +9,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -64,6 +64,17 @@
         f64::from(weights.max().unwrap_or(0)) / f64::from(BEGUN_WEIGHT)
     }
 
+    /// Returns what is known against the most suspected feature that is not quarantined, for the log.
+    pub fn strongest_assessment(&self, now: Instant) -> Option<Assessment> {
+        let suspicions = self.suspicions(now).into_iter();
+        let open =
+            suspicions.filter(|(feature, _)| !self.is_covered(&FeatureSet::from([*feature])));
+        let strongest = open.max_by_key(|(feature, suspicion)| {
+            (suspicion.weight, Reverse(self.log(AnswerStage::Sustained).last(*feature)))
+        });
+        strongest.map(|(feature, suspicion)| self.assess(feature, &suspicion))
+    }
+
     /// Looks at the evidence again, as some of it counts only after some time, and returns the
     /// features that are quarantined because of it.
     pub fn review(&mut self, now: Instant) -> Vec<Detection> {
@@ -98,7 +109,7 @@
         // Of equally suspected features, one that sound requests share was answered last.
         let mut groups: BTreeMap<_, FeatureSet> = BTreeMap::new();
         for (feature, suspicion) in self.suspicions(now) {
-            if self.is_proved(feature, &suspicion) {
+            if self.assess(feature, &suspicion).is_proof() {
                 let rank = (
                     suspicion.weight,
                     Reverse(self.log(AnswerStage::Sustained).last(feature)),
@@ -118,32 +129,39 @@
         sets.into_iter().find(|sets| !sets.is_empty()).unwrap_or_default()
     }
 
-    /// Returns whether the evidence against `feature` is enough to hold it.
+    /// Returns the evidence against `feature` and how much of it is needed to hold the feature.
     ///
     /// A content that was never answered is held for its own crashes, whatever else happens: only the
     /// repeats of one request are refused if it is a victim.
-    fn is_proved(&self, feature: Feature, suspicion: &Suspicion) -> bool {
+    fn assess(&self, feature: Feature, suspicion: &Suspicion) -> Assessment {
         let Suspicion { weight, has_started, first_at, .. } = *suspicion;
         let was_answered = self.log(AnswerStage::Sustained).last(feature).is_some();
-        match feature {
+        let is_alone = !self.has_other_answers(first_at);
+        let mut doubts = BTreeSet::new();
+        let required = match feature {
             Feature::Content(_) if was_answered => {
-                weight >= ANSWERED_CONVICTION_WEIGHT && self.has_other_answers(first_at)
+                doubts.insert(Doubt::AnsweredBefore);
+                doubts.extend(is_alone.then_some(Doubt::NothingElseAnswered));
+                (!is_alone).then_some(ANSWERED_CONVICTION_WEIGHT)
             }
-            Feature::Content(_) => weight >= CONVICTION_WEIGHT,
+            Feature::Content(_) => Some(CONVICTION_WEIGHT),
             Feature::Part(_) => {
                 let needed =
                     if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
                 let all = self.evidence.weight_since(first_at).max(1);
-                let share = f64::from(weight) / f64::from(all);
-                let is_sure = weight >= 2 * needed;
+                let is_rare = f64::from(weight) / f64::from(all) < MIN_CRASH_SHARE;
+                let is_repeated = !self.evidence.is_of_many_requests(&suspicion.crashes);
+                doubts.extend(is_alone.then_some(Doubt::NothingElseAnswered));
+                doubts.extend((is_alone && was_answered).then_some(Doubt::AnsweredBefore));
+                doubts.extend(is_rare.then_some(Doubt::OtherCrashes));
+                doubts.extend(is_repeated.then_some(Doubt::FewRequests));
                 // In a quiet hour there may be no other requests.
-                let is_singular = self.has_other_answers(first_at) || (is_sure && !was_answered);
-                weight >= needed
-                    && (share >= MIN_CRASH_SHARE || is_sure)
-                    && is_singular
-                    && self.evidence.is_of_many_requests(&suspicion.crashes)
+                let is_possible = !(is_repeated || is_alone && was_answered);
+                let factor = if is_alone || is_rare { 2 } else { 1 };
+                is_possible.then_some(factor * needed)
             }
-        }
+        };
+        Assessment { feature, crashes: suspicion.crashes.len(), weight, required, doubts }
     }
 
     /// Returns whether all requests with the features of `set` are held or on trial.
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 //! of them refuse the feature soon after a few crashes, whichever of them saw those.
 
 mod answers;
+mod assessment;
 mod content;
 mod crash;
 mod detection;
@@ -23,6 +24,7 @@
 use strum::EnumIter;
 
 pub use self::{
+    assessment::{Assessment, Doubt},
     content::Content,
     crash::{CrashId, RequestLoss},
     feature::{Feature, FeatureSet},
