gateway, lib: tell prompts without a body apart by their parts

What callers saw: after one or two prompts with a part that crashes targets, all prompts of the same caller and path were refused as quarantined, the sound ones too, if their bodies were empty.

Cause: the content of a request is a digest of method, host, path, team and body. The platform names the parts of a prompt in a header, and the body may be empty, so that different prompts counted as repeats of one request. If no such prompt had been answered, four crashes quarantined them all; otherwise "repeats of a few requests explain the crashes" kept the part from being held until an answer to a sound prompt cleared the content.

Change: without a body, the digest covers all parts of the prompt, the last one included. With a body it is as before, whatever the parts.

--- a/gateway/src/serve/handle.rs
+++ b/gateway/src/serve/handle.rs
@@ -190,6 +190,7 @@
         path: parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
         team: route_match.team.as_deref(),
         body: &body,
+        prompt: head.prompt_digest,
     };
     let content = content.digest();
     let context = RequestContext {
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -26,6 +26,8 @@
 pub type ModelId = String;
 /// Index of a generated token in its answer, starting at 0.
 pub type Position = u64;
+/// Digest of all parts of a prompt with their lengths; 0 without a prompt.
+pub type PromptDigest = u64;
 /// Identifier of a part of a prompt that requests can share, such as a common beginning.
 pub type PromptPartId = u64;
 /// Unique identifier of a caller's request.
--- a/lib/src/quarantine/content.rs
+++ b/lib/src/quarantine/content.rs
@@ -1,6 +1,6 @@
 //! Content of a request, by which its repeats are recognized.
 
-use crate::ids::ContentDigest;
+use crate::ids::{ContentDigest, PromptDigest};
 use std::hash::Hasher;
 use twox_hash::XxHash64;
 
@@ -18,16 +18,22 @@
     pub team: Option<&'a str>,
     /// Body.
     pub body: &'a [u8],
+    /// Digest of the parts of the prompt.
+    pub prompt: PromptDigest,
 }
 
 impl Content<'_> {
     /// Returns the digest of the content, which is the same at all entries.
+    ///
+    /// The body of a prompt may be empty, so that only its parts tell it from other prompts.
     pub fn digest(&self) -> ContentDigest {
         let mut hasher = XxHash64::with_seed(0);
         let team = self.team.unwrap_or_default();
         let host = self.host.to_ascii_lowercase();
         let fields = [self.method, &host, self.path, team].map(str::as_bytes);
-        for field in fields.into_iter().chain([self.body]) {
+        let prompt = self.prompt.to_le_bytes();
+        let input = if self.body.is_empty() { &prompt } else { self.body };
+        for field in fields.into_iter().chain([input]) {
             // The length separates the fields.
             hasher.write(&(field.len() as u64).to_le_bytes());
             hasher.write(field);
--- a/lib/tests/quarantine/repeats.rs
+++ b/lib/tests/quarantine/repeats.rs
@@ -163,12 +163,25 @@
     assert!(!fixture.sends(0, &deadly), "not held for longer");
 }
 
-const CONTENT: Content<'_> =
-    Content { method: "POST", host: "h.example", path: "/a/b", team: Some("club"), body: b"c" };
+const CONTENT: Content<'_> = Content {
+    method: "POST",
+    host: "h.example",
+    path: "/a/b",
+    team: Some("club"),
+    body: b"c",
+    prompt: 7,
+};
+
+/// The same without a body.
+const BARE: Content<'_> = Content { body: b"", ..CONTENT };
 
 /// Checks whether a content has the same digest as `CONTENT`.
 fn check_digest(other: Content<'_>, same: bool) {
-    assert_eq!(other.digest() == CONTENT.digest(), same);
+    check_digests(CONTENT, other, same);
+}
+
+fn check_digests(content: Content<'_>, other: Content<'_>, same: bool) {
+    assert_eq!(other.digest() == content.digest(), same);
 }
 
 cases! {
@@ -182,4 +195,12 @@
         other_body: (Content { body: b"d", ..CONTENT }, false),
         field_boundary: (Content { path: "/a/bc", team: Some("lub"), ..CONTENT }, false),
     }
+    check_digests {
+        repeat_without_body: (BARE, BARE, true),
+        /// Guards against different prompts that are taken for repeats of one request because their
+        /// bodies are empty.
+        other_prompt_without_body: (BARE, Content { prompt: 8, ..BARE }, false),
+        /// Guards against a repeat that is not recognized although its body is the same.
+        repeat_with_other_parts: (CONTENT, Content { prompt: 8, ..CONTENT }, true),
+    }
 }
