lib, gateway: bound the evidence against a part by the rule

With one such prompt in 2, 3 and 5 seconds 3, 4 and 5 of them reached targets later than contactMs after the fifth crash; three are allowed. If the part had been answered before, or targets crashed before they sent a head, 10 to 33 of 30 to 60 did.

Cause: conditions multiplied the evidence that is needed, without regard to what the rule leaves. While nothing else is answered, it took twice the usual weight, so eight crashes with a head, twelve after the first event, sixteen before the head. Of two crashes by one request that is sent again, 31 ms apart, one counted, so that these were ten. A part that was answered before was never held, whatever the number of its crashes.

Evidence: the log line on the evidence in the same runs. 'evidence 3 of 8' after five crashes, 'required inf' with 'answered_before' up to 42 crashes. Not the cause: crashes that are not confirmed (one line for each), or entries that do not hear of each other (both log the same figures).

Change: doubts ask for one crash more each, two at most. A crash counts for its own when another one within 50 ms took few requests or only those that were sent again: a target that is asked after the first crash does not fail with it. Before a head, a crash that took at most three requests has three quarters of the weight in place of half. A part that was answered before is held for crashes that took at most three requests, so that a part of all requests is not held while a fleet fails under its load. The largest sum is eight crashes, which is what the rule leaves at any pace.

The rule allows 5 + 3 requests at a slow pace, whether the part was answered before or not.

--- a/gateway/src/peers/protocol.rs
+++ b/gateway/src/peers/protocol.rs
@@ -21,7 +21,7 @@
 /// The version follows the name of the entry, in place of the kind of an address in requests without
 /// one, of which it is no valid number. An entry of either version then refuses the other's requests
 /// instead of decoding the rest as something else.
-const VERSION: u32 = 2;
+const VERSION: u32 = 3;
 
 /// Version of the messages. Only the present one can be decoded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -17,15 +17,16 @@
 /// several such requests at a time, so that more of them are victims.
 pub(super) const STARTED_WEIGHT: u32 = 3;
 
-/// Weight of a crash in which no answer had begun, for a feature of a request that waited.
+/// Weight of a crash in which no answer had begun and many requests were lost, for a part of one that
+/// waited.
 const WAITING_WEIGHT: u32 = 2;
 
-/// The same for the content of a request that waited. Calls do not begin their answers before these
-/// are complete.
-const WAITING_CONTENT_WEIGHT: u32 = 3;
+/// The same if few requests were lost, and for the content of a request that waited with many others.
+/// Calls do not begin their answers before these are complete.
+const LIKELY_WAITING_WEIGHT: u32 = 3;
 
-/// Number of lost requests up to which one that waited has `BEGUN_WEIGHT`, since it is then as likely
-/// the cause. A target runs few calls at a time.
+/// Number of lost requests up to which one of them is likely the cause. The content of one that
+/// waited then has `BEGUN_WEIGHT`, as a target runs few calls at a time.
 const FEW_REQUESTS: usize = 3;
 
 /// One run of a target, which ended in a crash. Restarted targets can keep their identifier.
@@ -61,6 +62,8 @@
     /// Whether the answer to any request had begun without any event. Those that waited are victims
     /// then, also after that request was answered elsewhere.
     pub(super) had_begun: bool,
+    /// Contents of all requests that were lost, also of those that are no suspects.
+    pub(super) lost: FeatureSet,
     pub(super) version: Version,
 }
 
@@ -73,35 +76,37 @@
             started: FeatureSet::new(),
             waiting: FeatureSet::new(),
             had_begun: false,
+            lost: FeatureSet::new(),
             version,
         }
     }
 
     /// Adds the features of a request that was lost after `progress`.
     pub(super) fn add_loss(&mut self, progress: Progress, features: FeatureSet) {
-        let features = features.into_iter();
-        match progress {
-            Progress::Begun => self.begun.extend(features),
-            Progress::Started => self.started.extend(features),
-            Progress::Waiting => self.waiting.extend(features),
+        let suspects = match progress {
+            Progress::Begun => &mut self.begun,
+            Progress::Started => &mut self.started,
+            Progress::Waiting => &mut self.waiting,
             Progress::Streaming => return,
-        }
+        };
+        self.lost.extend(features.iter().filter(|feature| feature.is_content()));
+        suspects.extend(features);
         self.had_begun |= progress == Progress::Begun;
         self.tidy();
     }
 
     /// Adds what another report says of the same crash, and returns whether that is new.
     pub(super) fn merge(&mut self, other: Self) -> bool {
-        let before = (self.begun.len(), self.started.len(), self.waiting.len());
+        let before = self.sizes();
         let had_begun = self.had_begun;
         self.at = self.at.min(other.at);
         self.begun.extend(other.begun);
         self.started.extend(other.started);
         self.waiting.extend(other.waiting);
+        self.lost.extend(other.lost);
         self.had_begun |= other.had_begun;
         self.tidy();
-        let after = (self.begun.len(), self.started.len(), self.waiting.len());
-        let changed = before != after || had_begun != self.had_begun;
+        let changed = before != self.sizes() || had_begun != self.had_begun;
         if changed {
             self.version = other.version;
         }
@@ -132,9 +137,10 @@
             let waiting = self.waiting.iter().filter(silent);
             let of_few = self.contents().len() <= FEW_REQUESTS;
             suspects.extend(waiting.map(|feature| match feature {
+                Feature::Part(_) if self.has_few_lost() => (*feature, LIKELY_WAITING_WEIGHT),
                 Feature::Part(_) => (*feature, WAITING_WEIGHT),
                 Feature::Content(_) if of_few => (*feature, BEGUN_WEIGHT),
-                Feature::Content(_) => (*feature, WAITING_CONTENT_WEIGHT),
+                Feature::Content(_) => (*feature, LIKELY_WAITING_WEIGHT),
             }));
         }
         suspects
@@ -181,9 +187,18 @@
         self.features().filter(Feature::is_content).collect()
     }
 
+    /// Returns whether few requests were lost.
+    pub(super) fn has_few_lost(&self) -> bool {
+        self.lost.len() <= FEW_REQUESTS
+    }
+
     /// Returns the number of features that are recorded.
-    pub(super) fn suspect_count(&self) -> usize {
-        self.begun.len() + self.started.len() + self.waiting.len()
+    pub(super) fn feature_count(&self) -> usize {
+        self.sizes().into_iter().sum()
+    }
+
+    fn sizes(&self) -> [usize; 4] {
+        [&self.begun, &self.started, &self.waiting, &self.lost].map(FeatureSet::len)
     }
 
     fn only_started(&self) -> impl Iterator<Item = &Feature> {
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -17,8 +17,9 @@
 /// had begun to answer a request with the feature, and no answer in between.
 const CONVICTION_WEIGHT: u32 = 4 * BEGUN_WEIGHT;
 
-/// The same if one of the crashes came after the first event: six such crashes in a row.
-const STARTED_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
+/// The same if one of the crashes is weaker evidence, such as one after the first event: six such
+/// crashes in a row.
+const WEAK_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
 
 /// The same for a content that was answered before. It is more likely a victim, as a call that many
 /// callers repeat is while all targets of its service crash.
@@ -35,8 +36,9 @@
 /// Time after the latest crash during which the evidence is reviewed, longer than `MIN_SILENCE`.
 const REVIEW_TIME: Duration = Duration::from_secs(3);
 
-/// Number of answers to requests without a feature that must have come since its first crash. If
-/// nothing is answered at all, the targets have another problem than that feature.
+/// Number of answers since the first crash of a feature from which the targets are known to answer
+/// other requests. With fewer, the targets may have another problem than that feature, or no other
+/// requests come.
 pub(super) const MIN_OTHER_ANSWERS: usize = 2;
 
 /// Share of all crashes since the first one that a feature must be suspected of, unless it has
@@ -134,34 +136,60 @@
     /// A content that was never answered is held for its own crashes, whatever else happens: only the
     /// repeats of one request are refused if it is a victim.
     fn assess(&self, feature: Feature, suspicion: &Suspicion) -> Assessment {
-        let Suspicion { weight, has_started, first_at, .. } = *suspicion;
-        let was_answered = self.log(AnswerStage::Sustained).last(feature).is_some();
-        let is_alone = !self.has_other_answers(first_at);
+        match feature {
+            Feature::Content(_) => self.assess_content(feature, suspicion),
+            Feature::Part(_) => self.assess_part(feature, suspicion),
+        }
+    }
+
+    fn assess_content(&self, feature: Feature, suspicion: &Suspicion) -> Assessment {
         let mut doubts = BTreeSet::new();
-        let required = match feature {
-            Feature::Content(_) if was_answered => {
-                doubts.insert(Doubt::AnsweredBefore);
-                doubts.extend(is_alone.then_some(Doubt::NothingElseAnswered));
-                (!is_alone).then_some(ANSWERED_CONVICTION_WEIGHT)
-            }
-            Feature::Content(_) => Some(CONVICTION_WEIGHT),
-            Feature::Part(_) => {
-                let needed =
-                    if has_started { STARTED_CONVICTION_WEIGHT } else { CONVICTION_WEIGHT };
-                let all = self.evidence.weight_since(first_at).max(1);
-                let is_rare = f64::from(weight) / f64::from(all) < MIN_CRASH_SHARE;
-                let is_repeated = !self.evidence.is_of_many_requests(&suspicion.crashes);
-                doubts.extend(is_alone.then_some(Doubt::NothingElseAnswered));
-                doubts.extend((is_alone && was_answered).then_some(Doubt::AnsweredBefore));
-                doubts.extend(is_rare.then_some(Doubt::OtherCrashes));
-                doubts.extend(is_repeated.then_some(Doubt::FewRequests));
-                // In a quiet hour there may be no other requests.
-                let is_possible = !(is_repeated || is_alone && was_answered);
-                let factor = if is_alone || is_rare { 2 } else { 1 };
-                is_possible.then_some(factor * needed)
+        let mut required = Some(CONVICTION_WEIGHT);
+        if self.was_answered(feature) {
+            doubts.insert(Doubt::AnsweredBefore);
+            required = Some(ANSWERED_CONVICTION_WEIGHT);
+            if !self.has_other_answers(suspicion.first_at) {
+                doubts.insert(Doubt::NothingElseAnswered);
+                required = None;
             }
+        }
+        let (crashes, weight) = (suspicion.crashes.len(), suspicion.weight);
+        Assessment { feature, crashes, weight, required, doubts }
+    }
+
+    /// While nothing else is answered, a part needs one crash more than usual, and two if it was
+    /// answered before. The crashes of a part that was answered then count only if few requests were
+    /// lost in them: all requests may share the part, and all targets may fail under their load.
+    fn assess_part(&self, part: Feature, suspicion: &Suspicion) -> Assessment {
+        let Suspicion { mut weight, few_weight, is_weak, first_at, .. } = *suspicion;
+        let (usual, crash) = match is_weak {
+            true => (WEAK_CONVICTION_WEIGHT, STARTED_WEIGHT),
+            false => (CONVICTION_WEIGHT, BEGUN_WEIGHT),
         };
-        Assessment { feature, crashes: suspicion.crashes.len(), weight, required, doubts }
+        let mut required = usual;
+        let mut doubts = BTreeSet::new();
+        if !self.has_other_answers(first_at) {
+            doubts.insert(Doubt::NothingElseAnswered);
+            required += crash;
+            if self.was_answered(part) {
+                doubts.insert(Doubt::AnsweredBefore);
+                required += crash;
+                weight = few_weight;
+            }
+        }
+        let all = self.evidence.weight_since(first_at).max(1);
+        if f64::from(weight) / f64::from(all) < MIN_CRASH_SHARE {
+            doubts.insert(Doubt::OtherCrashes);
+            required = required.max(2 * usual);
+        }
+        let is_repeated = !self.evidence.is_of_many_requests(&suspicion.crashes);
+        doubts.extend(is_repeated.then_some(Doubt::FewRequests));
+        let required = (!is_repeated).then_some(required);
+        Assessment { feature: part, crashes: suspicion.crashes.len(), weight, required, doubts }
+    }
+
+    fn was_answered(&self, feature: Feature) -> bool {
+        self.log(AnswerStage::Sustained).last(feature).is_some()
     }
 
     /// Returns whether all requests with the features of `set` are held or on trial.
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -6,7 +6,7 @@
 };
 use crate::ids::TargetId;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
@@ -18,11 +18,15 @@
 
 /// Maximum number of features of all remembered crashes together, eight crashes of the most
 /// features that one request can have; the oldest crashes are forgotten first.
-const MAX_SUSPECTS: usize = 32_768;
+const MAX_FEATURES: usize = 32_768;
 
-/// Minimum time between two crashes for both to count against a part. Targets that crash together have a common
-/// cause, such as a power failure, of which many requests with a common feature are victims.
-const MIN_SPACING: Duration = Duration::from_millis(50);
+/// Time within which crashes form a cluster. Targets that crash together have a common cause, such as
+/// a power failure, of which many requests with a common feature are victims.
+const CLUSTER_TIME: Duration = Duration::from_millis(50);
+
+/// Number of crashes of one cluster that count against a part, if few requests were lost in the later
+/// ones. Further crashes count only if they took nothing but requests that were sent again.
+const MAX_CLUSTER_COUNT: usize = 2;
 
 /// Number of requests whose repeats can crash targets while a part that they share with sound requests
 /// is not held for it.
@@ -33,28 +37,74 @@
 pub(super) struct Suspicion {
     /// Sum of the weights of the crashes that count.
     pub(super) weight: u32,
-    /// Whether one of the crashes came after the first event of the request.
-    pub(super) has_started: bool,
+    /// Sum of the weights of those crashes in which few requests were lost.
+    pub(super) few_weight: u32,
+    /// Whether one of the crashes has the weight of one that came after the first event.
+    pub(super) is_weak: bool,
     /// Time of the first crash.
     pub(super) first_at: Instant,
-    last_counted: Instant,
+    cluster: Cluster,
     /// Positions, in the order of time, of the crashes that the feature is suspected of.
     pub(super) crashes: Vec<usize>,
 }
 
 impl Suspicion {
-    fn new(at: Instant, weight: u32, crash: usize) -> Self {
-        let has_started = weight == STARTED_WEIGHT;
-        Self { weight, has_started, first_at: at, last_counted: at, crashes: vec![crash] }
+    fn new(at: Instant) -> Self {
+        Self {
+            weight: 0,
+            few_weight: 0,
+            is_weak: false,
+            first_at: at,
+            cluster: Cluster::new(at),
+            crashes: Vec::new(),
+        }
     }
 
-    fn add(&mut self, at: Instant, weight: u32, crash: usize, spacing: Duration) {
-        self.crashes.push(crash);
-        if at.saturating_duration_since(self.last_counted) >= spacing {
+    /// Adds the crash at `position`, with its weight for the feature.
+    fn add(&mut self, event: CrashEvent<'_>, weight: u32, position: usize, cluster_time: Duration) {
+        let crash = event.crash;
+        self.crashes.push(position);
+        if self.cluster.add(event, cluster_time) {
             self.weight += weight;
-            self.has_started |= weight == STARTED_WEIGHT;
-            self.last_counted = at;
+            self.few_weight += if crash.has_few_lost() { weight } else { 0 };
+            self.is_weak |= weight == STARTED_WEIGHT;
+        }
+    }
+}
+
+/// A crash in the order of time.
+#[derive(Clone, Copy, Debug)]
+struct CrashEvent<'a> {
+    crash: &'a Crash,
+    /// Whether all requests that were lost in it had been lost in earlier crashes of the same cluster,
+    /// so that the target was asked only after those.
+    is_resent: bool,
+}
+
+/// Crashes within a short time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Cluster {
+    began_at: Instant,
+    /// Number of crashes that count.
+    count: usize,
+}
+
+impl Cluster {
+    /// Returns a cluster without crashes.
+    fn new(began_at: Instant) -> Self {
+        Self { began_at, count: 0 }
+    }
+
+    /// Adds a crash, which begins a new cluster if it came later than `time` after the first crash of
+    /// this one. Returns whether it counts.
+    fn add(&mut self, CrashEvent { crash, is_resent }: CrashEvent<'_>, time: Duration) -> bool {
+        if crash.at.saturating_duration_since(self.began_at) >= time {
+            *self = Self::new(crash.at);
         }
+        let is_single = self.count < MAX_CLUSTER_COUNT && crash.has_few_lost();
+        let counts = self.count == 0 || is_resent || is_single;
+        self.count += usize::from(counts);
+        counts
     }
 }
 
@@ -140,7 +190,8 @@
         if repeated.is_empty() {
             return suspicions;
         }
-        for (position, crash) in self.in_order().into_iter().enumerate() {
+        for (position, event) in self.events().into_iter().enumerate() {
+            let crash = event.crash;
             let explaining: Vec<&&FeatureSet> =
                 holds.iter().filter(|held| crash.is_explained_by(held, now)).collect();
             for (feature, weight) in crash.suspects(&repeated, &is_silent, now) {
@@ -152,11 +203,10 @@
                     continue;
                 }
                 // A request that is sent again at once crashes its targets within a few milliseconds.
-                let spacing = if feature.is_content() { Duration::ZERO } else { MIN_SPACING };
-                suspicions
-                    .entry(feature)
-                    .and_modify(|suspicion| suspicion.add(crash.at, weight, position, spacing))
-                    .or_insert_with(|| Suspicion::new(crash.at, weight, position));
+                let time = if feature.is_content() { Duration::ZERO } else { CLUSTER_TIME };
+                let suspicion =
+                    suspicions.entry(feature).or_insert_with(|| Suspicion::new(crash.at));
+                suspicion.add(event, weight, position, time);
             }
         }
         suspicions
@@ -186,19 +236,31 @@
         crashes
     }
 
+    /// Returns the crashes in the order of time, with what they have to do with those before.
+    fn events(&self) -> Vec<CrashEvent<'_>> {
+        let crashes = self.in_order();
+        let is_resent = |position: usize, crash: &Crash| {
+            let earlier = crashes[..position].iter().rev();
+            let cluster: Vec<&&Crash> = earlier
+                .take_while(|it| crash.at.saturating_duration_since(it.at) < CLUSTER_TIME)
+                .filter(|it| it.at < crash.at)
+                .collect();
+            let is_lost_before = |content| cluster.iter().any(|it| it.lost.contains(content));
+            !crash.lost.is_empty() && crash.lost.iter().all(is_lost_before)
+        };
+        let events = crashes.iter().enumerate();
+        let events = events
+            .map(|(position, crash)| CrashEvent { crash, is_resent: is_resent(position, crash) });
+        events.collect()
+    }
+
     /// Returns the weight of the crashes since `since` for a feature that is suspected of all of
     /// them.
     pub(super) fn weight_since(&self, since: Instant) -> u32 {
-        let recent = self.crashes.values().map(|crash| crash.at).filter(|at| *at >= since);
-        let times: BTreeSet<Instant> = recent.collect();
-        let mut count = 0;
-        let mut last: Option<Instant> = None;
-        for at in times {
-            if last.is_none_or(|last| at.saturating_duration_since(last) >= MIN_SPACING) {
-                (count, last) = (count + 1, Some(at));
-            }
-        }
-        count * BEGUN_WEIGHT
+        let mut cluster = Cluster::new(since);
+        let recent = self.events().into_iter().filter(|event| event.crash.at >= since);
+        let counted = recent.filter(|event| cluster.add(*event, CLUSTER_TIME));
+        counted.map(|_| BEGUN_WEIGHT).sum()
     }
 
     /// Returns whether requests with `features`, which are on trial, caused the crash `id`. The target
@@ -229,7 +291,7 @@
 
     fn evict(&mut self) {
         while self.crashes.len() > MAX_CRASHES
-            || (self.crashes.len() > 1 && self.suspect_count() > MAX_SUSPECTS)
+            || (self.crashes.len() > 1 && self.feature_count() > MAX_FEATURES)
         {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
@@ -239,8 +301,8 @@
         }
     }
 
-    fn suspect_count(&self) -> usize {
-        self.crashes.values().map(Crash::suspect_count).sum()
+    fn feature_count(&self) -> usize {
+        self.crashes.values().map(Crash::feature_count).sum()
     }
 
     fn forget_old(&mut self, now: Instant) {
--- a/lib/src/quarantine/news.rs
+++ b/lib/src/quarantine/news.rs
@@ -36,6 +36,8 @@
     pub waiting: FeatureSet,
     /// Whether the answer to any request had begun without any event.
     pub had_begun: bool,
+    /// Contents of all requests that were lost, also of those that are no suspects.
+    pub lost: FeatureSet,
 }
 
 /// The last answer to a request with a certain feature that has reached `stage`.
--- a/lib/src/quarantine/registry.rs
+++ b/lib/src/quarantine/registry.rs
@@ -150,6 +150,7 @@
             started: crash.started.clone(),
             waiting: crash.waiting.clone(),
             had_begun: crash.had_begun,
+            lost: crash.lost.clone(),
         });
         let answers = AnswerStage::iter().flat_map(|stage| {
             let changed = self.log(stage).changed_since(version);
@@ -176,10 +177,14 @@
                 self.apply_stage(feature, stage, at);
             }
         }
-        for CrashNews { id, age, begun, started, waiting, had_begun } in news.crashes {
+        for CrashNews { id, age, begun, started, waiting, had_begun, lost } in news.crashes {
             let Some(at) = now.checked_sub(age) else { continue };
             let version = self.version + 1;
-            self.add_crash(id, Crash { at, begun, started, waiting, had_begun, version }, now);
+            self.add_crash(
+                id,
+                Crash { at, begun, started, waiting, had_begun, lost, version },
+                now,
+            );
         }
         let mut detections = Vec::new();
         for HoldNews { mut features, age, spell } in news.holds {
--- a/lib/tests/quarantine/main.rs
+++ b/lib/tests/quarantine/main.rs
@@ -5,4 +5,5 @@
 mod fixture;
 mod holds;
 mod ordinary;
+mod quiet;
 mod repeats;
