lib: hold a request that was answered before also in a quiet hour

A request that had been answered and then crashed each target was never quarantined as long as no other request was answered.

Cause: a content that was answered before needed two answers to others, whatever the number of its crashes; the rule leaves three crashes that show the cause, and three more.

Change: while nothing else is answered, five crashes suffice (six of less weight) if few requests were lost in each of them.

The three cases of check_quiet_threshold failed before and pass.

--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -21,8 +21,7 @@
 /// crashes in a row.
 const WEAK_CONVICTION_WEIGHT: u32 = 6 * STARTED_WEIGHT;
 
-/// The same for a content that was answered before. It is more likely a victim, as a call that many
-/// callers repeat is while all targets of its service crash.
+/// The same for a content that was answered before, while other requests are answered.
 const ANSWERED_CONVICTION_WEIGHT: u32 = 2 * CONVICTION_WEIGHT;
 
 /// Weight of the evidence from which a request that lost its target is not sent to another one: two
@@ -142,19 +141,24 @@
         }
     }
 
-    fn assess_content(&self, feature: Feature, suspicion: &Suspicion) -> Assessment {
+    /// A content that was answered before needs more evidence. It is more likely a victim, as a call
+    /// that many callers repeat is while all targets of its service crash. While nothing else is
+    /// answered, crashes count only if few requests were lost in them and others are not too close.
+    fn assess_content(&self, content: Feature, suspicion: &Suspicion) -> Assessment {
+        let mut weight = suspicion.weight;
+        let mut required = CONVICTION_WEIGHT;
         let mut doubts = BTreeSet::new();
-        let mut required = Some(CONVICTION_WEIGHT);
-        if self.was_answered(feature) {
+        if self.was_answered(content) {
             doubts.insert(Doubt::AnsweredBefore);
-            required = Some(ANSWERED_CONVICTION_WEIGHT);
+            required = ANSWERED_CONVICTION_WEIGHT;
             if !self.has_other_answers(suspicion.first_at) {
                 doubts.insert(Doubt::NothingElseAnswered);
-                required = None;
+                weight = suspicion.few_weight;
+                required = WEAK_CONVICTION_WEIGHT;
             }
         }
-        let (crashes, weight) = (suspicion.crashes.len(), suspicion.weight);
-        Assessment { feature, crashes, weight, required, doubts }
+        let crashes = suspicion.crashes.len();
+        Assessment { feature: content, crashes, weight, required: Some(required), doubts }
     }
 
     /// While nothing else is answered, a part needs one crash more than usual, and two if it was
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -35,9 +35,10 @@
 /// Evidence that a feature crashes targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Suspicion {
-    /// Sum of the weights of the crashes that count.
+    /// Sum of the weights of the crashes that count. For a content, crashes within a cluster count
+    /// as well: a request that is sent again at once crashes its targets within a few milliseconds.
     pub(super) weight: u32,
-    /// Sum of the weights of those crashes in which few requests were lost.
+    /// The same for crashes in which few requests were lost, without those within a cluster.
     pub(super) few_weight: u32,
     /// Whether one of the crashes has the weight of one that came after the first event.
     pub(super) is_weak: bool,
@@ -61,14 +62,18 @@
     }
 
     /// Adds the crash at `position`, with its weight for the feature.
-    fn add(&mut self, event: CrashEvent<'_>, weight: u32, position: usize, cluster_time: Duration) {
-        let crash = event.crash;
+    fn add(&mut self, event: CrashEvent<'_>, weight: u32, position: usize, is_content: bool) {
         self.crashes.push(position);
-        if self.cluster.add(event, cluster_time) {
+        // Many callers may send the same content at the same time.
+        let event = CrashEvent { is_resent: event.is_resent && !is_content, ..event };
+        let counts = self.cluster.add(event);
+        if counts || is_content {
             self.weight += weight;
-            self.few_weight += if crash.has_few_lost() { weight } else { 0 };
             self.is_weak |= weight == STARTED_WEIGHT;
         }
+        if counts {
+            self.few_weight += if event.crash.has_few_lost() { weight } else { 0 };
+        }
     }
 }
 
@@ -95,10 +100,10 @@
         Self { began_at, count: 0 }
     }
 
-    /// Adds a crash, which begins a new cluster if it came later than `time` after the first crash of
-    /// this one. Returns whether it counts.
-    fn add(&mut self, CrashEvent { crash, is_resent }: CrashEvent<'_>, time: Duration) -> bool {
-        if crash.at.saturating_duration_since(self.began_at) >= time {
+    /// Adds a crash, which begins a new cluster if it came later than [`CLUSTER_TIME`] after the first
+    /// crash of this one. Returns whether it counts.
+    fn add(&mut self, CrashEvent { crash, is_resent }: CrashEvent<'_>) -> bool {
+        if crash.at.saturating_duration_since(self.began_at) >= CLUSTER_TIME {
             *self = Self::new(crash.at);
         }
         let is_single = self.count < MAX_CLUSTER_COUNT && crash.has_few_lost();
@@ -202,11 +207,9 @@
                 if explaining.iter().any(|held| clears(held)) {
                     continue;
                 }
-                // A request that is sent again at once crashes its targets within a few milliseconds.
-                let time = if feature.is_content() { Duration::ZERO } else { CLUSTER_TIME };
                 let suspicion =
                     suspicions.entry(feature).or_insert_with(|| Suspicion::new(crash.at));
-                suspicion.add(event, weight, position, time);
+                suspicion.add(event, weight, position, feature.is_content());
             }
         }
         suspicions
@@ -259,7 +262,7 @@
     pub(super) fn weight_since(&self, since: Instant) -> u32 {
         let mut cluster = Cluster::new(since);
         let recent = self.events().into_iter().filter(|event| event.crash.at >= since);
-        let counted = recent.filter(|event| cluster.add(*event, CLUSTER_TIME));
+        let counted = recent.filter(|event| cluster.add(*event));
         counted.map(|_| BEGUN_WEIGHT).sum()
     }
 
--- a/lib/tests/quarantine/repeats.rs
+++ b/lib/tests/quarantine/repeats.rs
@@ -73,8 +73,18 @@
 }
 
 /// Checks that a content which is lost in crashes with the progress of each of `losses` is held after
-/// the last of them and not before. Several other requests wait at the same targets if `has_others`.
+/// the last of them and not before. Several other requests wait at the same targets if `has_others`,
+/// and are answered elsewhere.
 fn check_threshold(losses: &[Progress], has_others: bool, was_answered: bool) {
+    check_held_after(losses, has_others, was_answered, true);
+}
+
+/// The same for a content that was answered before, while nothing else is answered.
+fn check_quiet_threshold(losses: &[Progress]) {
+    check_held_after(losses, false, true, false);
+}
+
+fn check_held_after(losses: &[Progress], has_others: bool, was_answered: bool, has_answers: bool) {
     let mut fixture = Fixture::new(1);
     let deadly = request(&[], DEADLY);
     if was_answered {
@@ -82,7 +92,9 @@
     }
     for (number, progress) in losses.iter().enumerate() {
         fixture.clock.advance(3 * SETTLING_TIME);
-        fixture.answer_to(0, &request(&[], 0xa0));
+        if has_answers {
+            fixture.answer_to(0, &request(&[], 0xa0));
+        }
         assert!(fixture.sends(0, &deadly), "held too early");
         fixture.lose(0, *progress, &deadly);
         for other in (0..4).filter(|_| has_others) {
@@ -108,6 +120,13 @@
         calls_that_were_answered_before: (&[Waiting; 8], false, true),
         answered_calls_beside_others: (&[Waiting; 11], true, true),
     }
+    check_quiet_threshold {
+        /// Guards against a request that was answered before and is never held in a quiet hour: three
+        /// crashes show the cause, and three may follow.
+        answered_before_in_a_quiet_hour: (&[Begun; 5]),
+        answered_before_with_events_in_a_quiet_hour: (&[Started; 6]),
+        answered_call_in_a_quiet_hour: (&[Waiting; 5]),
+    }
 }
 
 /// Guards against refusing the requests that wait at targets which crash at another one, and a call
