lib: count a crash in which two calls that crash targets waited for both

Cause: a hold explains the crashes in which its content waited, and these then count against nothing else. Both calls had three crashes of their own and waited together in their fourth. Both were proved at that moment; the hold of the one took the crash from the other, which needed one more, and a call that is sent again at once ends two targets before that is settled.

Change: a crash that a held content explains counts for another content with two crashes of its own. A call that only waited beside the other one has none. Crashes that a held part explains count for nobody else, as before.

crash_of_two_calls failed before and passes, call_beside_another passes on both.

--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -28,6 +28,10 @@
 /// ones. Further crashes count only if they took nothing but requests that were sent again.
 const MAX_CLUSTER_COUNT: usize = 2;
 
+/// Weight of the crashes of a content from which those that another held content explains count for it
+/// as well: requests of both were lost in them, and either may be the cause.
+const MIN_OWN_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
+
 /// Number of requests whose repeats can crash targets while a part that they share with sound requests
 /// is not held for it.
 const REPEATED_REQUESTS: usize = 2;
@@ -40,6 +44,8 @@
     pub(super) weight: u32,
     /// The same for crashes in which few requests were lost, without those within a cluster.
     pub(super) few_weight: u32,
+    /// Sum of the weights of the crashes that a held content explains.
+    explained_weight: u32,
     /// Whether one of the crashes has the weight of one that came after the first event.
     pub(super) is_weak: bool,
     /// Time of the first crash.
@@ -54,6 +60,7 @@
         Self {
             weight: 0,
             few_weight: 0,
+            explained_weight: 0,
             is_weak: false,
             first_at: at,
             cluster: Cluster::new(at),
@@ -178,8 +185,9 @@
 
     /// Returns the suspicion of each feature that is a suspect of several crashes.
     ///
-    /// A crash does not count for a feature if one of `holds` without that feature explains it. A
-    /// content that is held does not clear a part: the request may crash targets because of the part.
+    /// A crash does not count for a feature if one of `holds` without that feature explains it, unless
+    /// a content explains it and other crashes speak against the feature. A content that is held does
+    /// not clear a part: the request may crash targets because of the part.
     /// `is_silent` says whether no answer to a request with a feature has begun for some time.
     pub(super) fn suspicions(
         &self,
@@ -197,21 +205,29 @@
         }
         for (position, event) in self.events().into_iter().enumerate() {
             let crash = event.crash;
-            let explaining: Vec<&&FeatureSet> =
-                holds.iter().filter(|held| crash.is_explained_by(held, now)).collect();
+            let explaining = holds.iter().filter(|held| crash.is_explained_by(held, now));
+            let explaining: Vec<&FeatureSet> = explaining.copied().collect();
             for (feature, weight) in crash.suspects(&repeated, &is_silent, now) {
-                let clears = |held: &FeatureSet| {
-                    let of_contents = held.iter().all(Feature::is_content);
-                    !held.contains(&feature) && (feature.is_content() || !of_contents)
-                };
-                if explaining.iter().any(|held| clears(held)) {
+                let of_contents = |held: &&FeatureSet| held.iter().all(Feature::is_content);
+                let others = explaining.iter().filter(|held| !held.contains(&feature));
+                let (contents, parts): (Vec<&FeatureSet>, Vec<&FeatureSet>) =
+                    others.copied().partition(of_contents);
+                if !parts.is_empty() {
                     continue;
                 }
+                let is_explained = feature.is_content() && !contents.is_empty();
                 let suspicion =
                     suspicions.entry(feature).or_insert_with(|| Suspicion::new(crash.at));
-                suspicion.add(event, weight, position, feature.is_content());
+                match is_explained {
+                    true => suspicion.explained_weight += weight,
+                    false => suspicion.add(event, weight, position, feature.is_content()),
+                }
             }
         }
+        for suspicion in suspicions.values_mut().filter(|it| it.weight >= MIN_OWN_WEIGHT) {
+            suspicion.weight += suspicion.explained_weight;
+        }
+        suspicions.retain(|_, suspicion| suspicion.weight > 0);
         suspicions
     }
 
--- a/lib/tests/quarantine/repeats.rs
+++ b/lib/tests/quarantine/repeats.rs
@@ -150,6 +150,39 @@
     assert!(fixture.sends(0, &request(&[], 2)));
 }
 
+/// Loses the calls of each of `crashes` together, and checks that exactly `held` are held afterwards.
+fn check_calls_at_once(crashes: &[&[ContentDigest]], held: &[ContentDigest]) {
+    let mut fixture = Fixture::new(1);
+    for calls in crashes {
+        fixture.lose(0, Waiting, &request(&[], calls[0]));
+        for call in &calls[1..] {
+            fixture.lose_at_same_target(0, Waiting, &request(&[], *call));
+        }
+        fixture.clock.advance(SETTLING_TIME);
+        let now = fixture.clock.now();
+        fixture.entries[0].review(now);
+    }
+    for call in crashes.iter().copied().flatten() {
+        assert_eq!(!fixture.sends(0, &request(&[], *call)), held.contains(call), "{call:x}");
+    }
+}
+
+cases! {
+    check_calls_at_once {
+        /// Guards against a call that is held a crash later because another one that crashes targets
+        /// waited in one of its crashes.
+        crash_of_two_calls: (
+            &[&[DEADLY], &[0xde], &[DEADLY], &[0xde], &[DEADLY], &[0xde], &[DEADLY, 0xde]],
+            &[DEADLY, 0xde],
+        ),
+        /// Guards against blaming a call that only waited beside another one that crashes targets.
+        call_beside_another: (
+            &[&[DEADLY], &[DEADLY, 1], &[DEADLY, 1], &[DEADLY, 1], &[DEADLY, 1]],
+            &[DEADLY],
+        ),
+    }
+}
+
 /// Guards against entries that each have to see all crashes.
 #[test]
 fn crashes_at_several_entries_count_together() {
