--- a/lib/src/quarantine/crash.rs
+++ b/lib/src/quarantine/crash.rs
@@ -62,7 +62,8 @@
     /// Whether the answer to any request had begun without any event. Those that waited are victims
     /// then, also after that request was answered elsewhere.
     pub(super) had_begun: bool,
-    /// Contents of all requests that were lost, also of those that are no suspects.
+    /// Contents of all requests that were lost before or soon after their first event, also of those
+    /// that are no suspects or were answered since.
     pub(super) lost: FeatureSet,
     pub(super) version: Version,
 }
@@ -187,7 +188,7 @@
         self.features().filter(Feature::is_content).collect()
     }
 
-    /// Returns whether few requests were lost.
+    /// Returns whether at most [`FEW_REQUESTS`] requests were lost.
     pub(super) fn has_few_lost(&self) -> bool {
         self.lost.len() <= FEW_REQUESTS
     }
--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -3,8 +3,8 @@
 use super::{
     AnswerStage, Assessment, Detection, Doubt, Feature, FeatureSet, Quarantine,
     crash::{BEGUN_WEIGHT, STARTED_WEIGHT},
-    evidence::Suspicion,
     registry::MAX_HOLDS,
+    suspicion::Suspicion,
 };
 
 use std::{
@@ -143,7 +143,7 @@
 
     /// A content that was answered before needs more evidence. It is more likely a victim, as a call
     /// that many callers repeat is while all targets of its service crash. While nothing else is
-    /// answered, crashes count only if few requests were lost in them and others are not too close.
+    /// answered, only crashes in which few requests were lost count, and of a cluster as for a part.
     fn assess_content(&self, content: Feature, suspicion: &Suspicion) -> Assessment {
         let mut weight = suspicion.weight;
         let mut required = CONVICTION_WEIGHT;
--- a/lib/src/quarantine/evidence.rs
+++ b/lib/src/quarantine/evidence.rs
@@ -2,7 +2,8 @@
 
 use super::{
     AnswerStage, Feature, FeatureSet, Version,
-    crash::{BEGUN_WEIGHT, Crash, CrashId, STARTED_WEIGHT},
+    crash::{BEGUN_WEIGHT, Crash, CrashId},
+    suspicion::{CLUSTER_TIME, Cluster, CrashEvent, Suspicion},
 };
 use crate::ids::TargetId;
 use std::{
@@ -20,14 +21,6 @@
 /// features that one request can have; the oldest crashes are forgotten first.
 const MAX_FEATURES: usize = 32_768;
 
-/// Time within which crashes form a cluster. Targets that crash together have a common cause, such as
-/// a power failure, of which many requests with a common feature are victims.
-const CLUSTER_TIME: Duration = Duration::from_millis(50);
-
-/// Number of crashes of one cluster that count against a part, if few requests were lost in the later
-/// ones. Further crashes count only if they took nothing but requests that were sent again.
-const MAX_CLUSTER_COUNT: usize = 2;
-
 /// Weight of the crashes of a content from which those that another held content explains count for it
 /// as well: requests of both were lost in them, and either may be the cause.
 const MIN_OWN_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
@@ -36,90 +29,6 @@
 /// is not held for it.
 const REPEATED_REQUESTS: usize = 2;
 
-/// Evidence that a feature crashes targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Suspicion {
-    /// Sum of the weights of the crashes that count. For a content, crashes within a cluster count
-    /// as well: a request that is sent again at once crashes its targets within a few milliseconds.
-    pub(super) weight: u32,
-    /// The same for crashes in which few requests were lost, without those within a cluster.
-    pub(super) few_weight: u32,
-    /// Sum of the weights of the crashes that a held content explains.
-    explained_weight: u32,
-    /// Whether one of the crashes has the weight of one that came after the first event.
-    pub(super) is_weak: bool,
-    /// Time of the first crash.
-    pub(super) first_at: Instant,
-    cluster: Cluster,
-    /// Positions, in the order of time, of the crashes that the feature is suspected of.
-    pub(super) crashes: Vec<usize>,
-}
-
-impl Suspicion {
-    fn new(at: Instant) -> Self {
-        Self {
-            weight: 0,
-            few_weight: 0,
-            explained_weight: 0,
-            is_weak: false,
-            first_at: at,
-            cluster: Cluster::new(at),
-            crashes: Vec::new(),
-        }
-    }
-
-    /// Adds the crash at `position`, with its weight for the feature.
-    fn add(&mut self, event: CrashEvent<'_>, weight: u32, position: usize, is_content: bool) {
-        self.crashes.push(position);
-        // Many callers may send the same content at the same time.
-        let event = CrashEvent { is_resent: event.is_resent && !is_content, ..event };
-        let counts = self.cluster.add(event);
-        if counts || is_content {
-            self.weight += weight;
-            self.is_weak |= weight == STARTED_WEIGHT;
-        }
-        if counts {
-            self.few_weight += if event.crash.has_few_lost() { weight } else { 0 };
-        }
-    }
-}
-
-/// A crash in the order of time.
-#[derive(Clone, Copy, Debug)]
-struct CrashEvent<'a> {
-    crash: &'a Crash,
-    /// Whether all requests that were lost in it had been lost in earlier crashes of the same cluster,
-    /// so that the target was asked only after those.
-    is_resent: bool,
-}
-
-/// Crashes within a short time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Cluster {
-    began_at: Instant,
-    /// Number of crashes that count.
-    count: usize,
-}
-
-impl Cluster {
-    /// Returns a cluster without crashes.
-    fn new(began_at: Instant) -> Self {
-        Self { began_at, count: 0 }
-    }
-
-    /// Adds a crash, which begins a new cluster if it came later than [`CLUSTER_TIME`] after the first
-    /// crash of this one. Returns whether it counts.
-    fn add(&mut self, CrashEvent { crash, is_resent }: CrashEvent<'_>) -> bool {
-        if crash.at.saturating_duration_since(self.began_at) >= CLUSTER_TIME {
-            *self = Self::new(crash.at);
-        }
-        let is_single = self.count < MAX_CLUSTER_COUNT && crash.has_few_lost();
-        let counts = self.count == 0 || is_resent || is_single;
-        self.count += usize::from(counts);
-        counts
-    }
-}
-
 /// The crashes that are remembered.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
--- a/lib/src/quarantine/mod.rs
+++ b/lib/src/quarantine/mod.rs
@@ -17,6 +17,7 @@
 mod hold;
 mod news;
 mod registry;
+mod suspicion;
 
 use crate::ids::PromptPartId;
 use serde::{Deserialize, Serialize};
