--- a/lib/tests/quarantine/detection.rs
+++ b/lib/tests/quarantine/detection.rs
@@ -4,7 +4,7 @@
 use fulmarhead_lib::{
     forward::Progress,
     ids::PromptPartId,
-    quarantine::{AnswerStage, Feature, FeatureSet},
+    quarantine::{AnswerStage, Doubt, Feature, FeatureSet},
 };
 use std::time::Duration;
 use testutils::cases;
@@ -316,3 +316,35 @@
     }
     assert!(!fixture.allows(0, &[FIRST]), "not held");
 }
+
+/// Checks what is known against `CRASHING` after one crash less than needed.
+fn check_assessment(has_answers: bool, was_answered: bool, required: f64, doubts: &[Doubt]) {
+    let mut fixture = Fixture::new(1);
+    if was_answered {
+        fixture.answer(0, &[CRASHING]);
+    }
+    for _ in 0..required as usize - 1 {
+        fixture.clock.advance(SILENCE);
+        fixture.crash(0, &[CRASHING]);
+        if has_answers {
+            fixture.answer(0, &[FIRST]);
+            fixture.answer(0, &[FIRST]);
+        }
+    }
+    let now = fulmarhead_lib::clock::Clock::now(&fixture.clock);
+    let assessment = fixture.entries[0].strongest_assessment(now).unwrap();
+    assert_eq!(assessment.feature, Feature::Part(CRASHING));
+    assert_eq!((assessment.evidence(), assessment.required()), (required - 1.0, required));
+    assert_eq!(assessment.doubts, doubts.iter().copied().collect());
+}
+
+cases! {
+    check_assessment {
+        /// Guards against a log that does not say why a part is not held.
+        nothing_in_doubt: (true, false, 4.0, &[]),
+        nothing_else_answered: (false, false, 5.0, &[Doubt::NothingElseAnswered]),
+        answered_before: (
+            false, true, 6.0, &[Doubt::NothingElseAnswered, Doubt::AnsweredBefore]
+        ),
+    }
+}
