--- a/lib/tests/quarantine/quiet.rs
+++ b/lib/tests/quarantine/quiet.rs
@@ -41,6 +41,8 @@
     interval: Duration,
     /// Number of these that arrive together, each at the next entry.
     batch: usize,
+    /// Number of times that each request is sent in turn.
+    repeats: usize,
     /// Whether these reach the same target.
     one_target: bool,
     /// How far their answers come before their targets crash.
@@ -55,6 +57,7 @@
 const HOUR: QuietHour = QuietHour {
     interval: Duration::from_secs(3),
     batch: 1,
+    repeats: 1,
     one_target: false,
     progress: Begun,
     entry_count: 2,
@@ -85,41 +88,53 @@
         Self { fixture, hour, sends: Vec::new(), crashes: Vec::new(), next_sound }
     }
 
+    /// Returns the features of the crashing request of position `number`.
+    fn crashing(&self, number: usize) -> FeatureSet {
+        request(CRASHING, number / self.hour.repeats)
+    }
+
     /// Sends the requests that arrive together at the entries from `first` on, again if they are lost.
     fn send_batch(&mut self, first: usize) {
         let mut open: Vec<usize> = (first..first + self.hour.batch).collect();
         for _ in 0..ATTEMPTS {
             let now = self.fixture.clock.now();
             open.retain(|number| {
+                let features = self.crashing(*number);
                 let entry = &mut self.fixture.entries[number % self.hour.entry_count];
-                entry.begin_send(&request(CRASHING, *number), now).is_ok()
+                entry.begin_send(&features, now).is_ok()
             });
             self.sends.extend(open.iter().map(|_| now));
             self.fixture.clock.advance(CRASH_TIME);
-            let at = self.fixture.clock.now();
-            let first_target = self.crashes.len();
-            let crash_count = if self.hour.one_target { open.len().min(1) } else { open.len() };
-            self.crashes.extend((0..crash_count).map(|_| at));
-            // The request is sent again before its crash is confirmed.
-            let before = self.fixture.entries.clone();
-            for (position, number) in open.iter().copied().enumerate() {
-                let target = first_target + if self.hour.one_target { 0 } else { position };
-                let crash = CrashId { target: format!("t{target}"), started_at: None };
-                let features = request(CRASHING, number);
-                let loss = RequestLoss { crash, progress: self.hour.progress, features };
-                let entry = &mut self.fixture.entries[number % self.hour.entry_count];
-                entry.record_losses(vec![(loss, at)], at + CONFIRM_TIME);
-            }
-            let is_waiting = self.hour.progress == Waiting;
+            // A request is sent again before its crash is confirmed.
+            let entries = self.fixture.entries.clone();
+            let at = self.lose(&open);
             open.retain(|number| {
-                let entry = &before[number % self.hour.entry_count];
-                is_waiting || !entry.is_suspected(&request(CRASHING, *number), at)
+                let entry = &entries[number % self.hour.entry_count];
+                let is_waiting = self.hour.progress == Waiting;
+                is_waiting || !entry.is_suspected(&self.crashing(*number), at)
             });
         }
         self.fixture.clock.advance(EXCHANGE_TIME);
         self.fixture.exchange_all();
     }
 
+    /// Crashes the targets of the requests `open` now, and returns that time.
+    fn lose(&mut self, open: &[usize]) -> Instant {
+        let at = self.fixture.clock.now();
+        let first_target = self.crashes.len();
+        let target_count = if self.hour.one_target { open.len().min(1) } else { open.len() };
+        self.crashes.extend((0..target_count).map(|_| at));
+        for (position, number) in open.iter().copied().enumerate() {
+            let target = first_target + if self.hour.one_target { 0 } else { position };
+            let crash = CrashId { target: format!("t{target}"), started_at: None };
+            let features = self.crashing(number);
+            let loss = RequestLoss { crash, progress: self.hour.progress, features };
+            let entry = &mut self.fixture.entries[number % self.hour.entry_count];
+            entry.record_losses(vec![(loss, at)], at + CONFIRM_TIME);
+        }
+        at
+    }
+
     /// Lets time pass until `end`, with reviews of the evidence and sound requests.
     fn wait_until(&mut self, end: Instant) {
         while self.fixture.clock.now() + REVIEW_INTERVAL <= end {
@@ -136,6 +151,7 @@
         }
     }
 
+    /// Returns the number of requests that reached targets later than callers allow.
     fn late_count(&self) -> usize {
         let counted = self.crashes.get(COUNTED_CRASH - 1).map(|at| *at + CONTACT_TIME);
         self.sends.iter().filter(|at| counted.is_some_and(|counted| **at > counted)).count()
@@ -209,6 +225,9 @@
         four_at_a_time: (QuietHour { batch: 4, ..every(5_000) }),
         two_at_a_time_at_one_target: (QuietHour { batch: 2, one_target: true, ..every(5_000) }),
         four_at_a_time_at_one_target: (QuietHour { batch: 4, one_target: true, ..every(5_000) }),
+        /// Guards against a part that is not held because its first requests are repeated.
+        each_sent_twice: (QuietHour { repeats: 2, ..every(5_000) }),
+        each_sent_until_it_is_refused: (QuietHour { repeats: 6, ..every(5_000) }),
         two_at_a_time_answered_before: (QuietHour { batch: 2, was_answered: true, ..every(5_000) }),
     }
 }
