--- a/lib/src/quarantine/detection.rs
+++ b/lib/src/quarantine/detection.rs
@@ -162,8 +162,9 @@
     }
 
     /// While nothing else is answered, a part needs one crash more than usual, and two if it was
-    /// answered before. The crashes of a part that was answered then count only if few requests were
-    /// lost in them: all requests may share the part, and all targets may fail under their load.
+    /// answered before. Few requests must have been lost in most of these crashes: all requests may
+    /// share the part, and all targets may fail under their load. Otherwise a part that was answered
+    /// is not held, and another one for twice the usual evidence.
     fn assess_part(&self, part: Feature, suspicion: &Suspicion) -> Assessment {
         let Suspicion { mut weight, few_weight, is_weak, first_at, .. } = *suspicion;
         let (usual, crash) = match is_weak {
@@ -179,6 +180,9 @@
                 doubts.insert(Doubt::AnsweredBefore);
                 required += crash;
                 weight = few_weight;
+            } else if 2 * few_weight < weight {
+                // An entry that has just started does not know what was answered before.
+                required = 2 * usual;
             }
         }
         let all = self.evidence.weight_since(first_at).max(1);
--- a/lib/tests/quarantine/exchange.rs
+++ b/lib/tests/quarantine/exchange.rs
@@ -1,7 +1,12 @@
 //! Tests of what entries tell each other.
 
-use crate::fixture::{CRASHING, FIRST, Fixture, INTERVAL, SOUND};
-use fulmarhead_lib::{clock::Clock, forward::Progress, ids::PromptPartId, quarantine::Quarantine};
+use crate::fixture::{CRASHING, FIRST, Fixture, INTERVAL, SILENCE, SOUND};
+use fulmarhead_lib::{
+    clock::Clock,
+    forward::Progress,
+    ids::PromptPartId,
+    quarantine::{Feature, FeatureSet, Quarantine},
+};
 use quickcheck::{TestResult, quickcheck};
 use std::time::Duration;
 use testutils::cases;
@@ -78,6 +83,55 @@
     assert!(fixture.allows(0, &[FIRST]));
 }
 
+/// Guards against an entry that starts in a quiet hour, or was cut off, and counts only the crashes that
+/// it has seen itself.
+#[test]
+fn crashes_before_contact_count_in_a_quiet_hour() {
+    let mut fixture = Fixture::new(2);
+    for _ in 0..4 {
+        fixture.clock.advance(SILENCE);
+        fixture.crash(0, &[FIRST, CRASHING]);
+    }
+    fixture.exchange_all();
+    assert!(fixture.allows(1, &[FIRST, CRASHING]), "held too early");
+    fixture.clock.advance(SILENCE);
+    fixture.crash(1, &[FIRST, CRASHING]);
+    fixture.exchange_all();
+    for entry in 0..2 {
+        assert!(!fixture.allows(entry, &[FIRST, CRASHING]), "entry {entry}");
+        assert!(fixture.allows(entry, &[FIRST, SOUND]), "entry {entry}");
+    }
+}
+
+/// Crashes `count` targets under the load of requests with one part, which one of two entries has
+/// answered before, and checks that the other one does not hold the part.
+fn check_failing_fleet(count: u64) {
+    let mut fixture = Fixture::new(2);
+    fixture.answer(0, &[FIRST]);
+    for crash in 0..count {
+        fixture.clock.advance(SILENCE);
+        for request in 0..4 {
+            let content = Feature::Content(4 * crash + request);
+            let features = FeatureSet::from([Feature::Part(FIRST), content]);
+            match request {
+                0 => fixture.lose(0, Progress::Begun, &features),
+                _ => fixture.lose_at_same_target(0, Progress::Begun, &features),
+            }
+        }
+        fixture.exchange_all();
+        assert!(fixture.allows(1, &[FIRST]), "held after {} crashes", crash + 1);
+    }
+}
+
+cases! {
+    check_failing_fleet {
+        /// Guards against an entry that starts while all targets fail under their load, and blames a
+        /// part of all requests because it has not seen the answers that its peers have.
+        seven_targets_fail: (7),
+        sixteen_targets_fail: (16),
+    }
+}
+
 /// Guards against two entries that have both held the part on either side of a cut and never agree.
 #[test]
 fn sides_of_a_cut_agree_after_it() {
